--- a/mothvale/policy.py
+++ b/lemonridge/policy.py
@@ -1,4 +1,4 @@
-"""The decisions of one host's I/O scheduler. The interface is in `mothvale/api.py`.
+"""The decisions of one host's I/O scheduler. The interface is in `lemonridge/api.py`.
 
 The mechanism is Gage's (docs/design.md cites it and lists each departure): a cycle visits the
 waiting volumes in rotation, credits each by its reservation, sends until its balance is negative,
@@ -15,7 +15,7 @@
 from math import exp
 from operator import attrgetter
 
-from mothvale.api import (
+from lemonridge.api import (
     Action, Arrived, Cancel, ClassInfo, Condition, Ended, Entry, Event, Fail, Gone, Group, Listed, ListKind,
     Plan, Refuse, Result, Semantics, Send, Settings, Started, Subscribe, Wake,
 )  # fmt: skip
--- a/mothvale/simhost.py
+++ b/lemonridge/simhost.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 from typing import Any, TextIO
 
-from mothvale import api
-from mothvale.policy import Scheduler
+from lemonridge import api
+from lemonridge.policy import Scheduler
 
 RESULTS = {
     0: api.Result.OK,
@@ -268,10 +268,10 @@
     try:
         run(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"mothvale: {error}", file=sys.stderr)
+        print(f"lemonridge: {error}", file=sys.stderr)
         return 2
     except UnicodeDecodeError:
-        print("mothvale: a line is not UTF-8", file=sys.stderr)
+        print("lemonridge: a line is not UTF-8", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mothvale import Scheduler, api
+from lemonridge import Scheduler, api
 
 READ = api.ClassInfo(300_000, 1_500_000, api.Semantics.SAFE, api.Group.ALL, 0, False, 3.0)
 WRITE = api.ClassInfo(500_000, 4_000_000, api.Semantics.KEYED, api.Group.CELL, 2_000_000, True, 2.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 import pytest
 from conftest import SETTINGS, START
 
-from mothvale import Scheduler, api
+from lemonridge import Scheduler, api
 
 CAPACITY = 80.0  # units a second of the warm node
 SLOT_US = 20_000
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,8 +6,8 @@
 
 from conftest import SETTINGS, START, Rig, finals, sends
 
-from mothvale import api
-from mothvale.api import Condition, ListKind, Result
+from lemonridge import api
+from lemonridge.api import Condition, ListKind, Result
 
 LEAVING, LEFT = Condition.LEAVING, Condition.LEFT
 
--- a/tests/test_repo.py
+++ b/tests/test_repo.py
@@ -9,16 +9,16 @@
 
 
 def test_policy_keeps_its_line_limits() -> None:
-    lines = (ROOT / "mothvale/policy.py").read_text().splitlines()
+    lines = (ROOT / "lemonridge/policy.py").read_text().splitlines()
     assert len([text for text in lines if text.strip()]) <= 650
     assert max(map(len, lines)) <= 110
 
 
 def test_policy_has_no_clock_input_or_output() -> None:
-    text = (ROOT / "mothvale/policy.py").read_text()
+    text = (ROOT / "lemonridge/policy.py").read_text()
     imports = set(re.findall(r"^(?:from|import) (\S+)", text, re.M))
     allowed = {"__future__", "random", "bisect", "collections", "collections.abc", "heapq", "math",
-               "operator", "mothvale.api"}
+               "operator", "lemonridge.api"}
     assert imports == allowed
     assert not re.search(r"\b(print|open|input|hash)\(", text)
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from mothvale import api, simhost
+from lemonridge import api, simhost
 
 ROOT = Path(__file__).resolve().parent.parent
 FACTS = {
@@ -105,10 +105,10 @@
      line(*begin(), ["completed", 3, "id-1", 0, "n", 17, 1, True])],
 )
 def test_malformed_line_ends_it_with_one_plain_line(bad: str) -> None:
-    done = subprocess.run([sys.executable, "-m", "mothvale.simhost"], input=bad + "\n", cwd=ROOT,
+    done = subprocess.run([sys.executable, "-m", "lemonridge.simhost"], input=bad + "\n", cwd=ROOT,
                           capture_output=True, text=True, check=False)
     assert done.returncode != 0
-    assert done.stderr.startswith("mothvale: ") and done.stderr.count("\n") == 1
+    assert done.stderr.startswith("lemonridge: ") and done.stderr.count("\n") == 1
     assert "Traceback" not in done.stderr and done.stdout == ""
 
 
