--- a/lemonridge/__init__.py
+++ b/lemonridge/__init__.py
@@ -1,6 +1,6 @@
-"""lemonridge: decisions of a scheduler of reads and writes before shared storage nodes."""
+"""lemonridge: a broker between many services, with contracts and budgets, before shared storage nodes."""
 
 from lemonridge.policy import Scheduler
 
 __all__ = ["Scheduler"]
-__version__ = "0.1.0"
+__version__ = "0.3.0"
--- /dev/null
+++ b/lemonridge/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m lemonridge`."""
+
+import sys
+
+from lemonridge.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/lemonridge/config.py
@@ -0,0 +1,118 @@
+"""What the broker is told at its start: the platform's variables and its JSON file."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from lemonridge import api
+from lemonridge.settings import SettingsError, names, settings_from
+
+SOCKETS = 1024  # where no limit is told
+
+
+class ConfigError(Exception):
+    """Bad configuration; the text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A TCP address."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: object, name: str) -> Address:
+        host, colon, port = str(text).rpartition(":")
+        if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+            raise ConfigError(f"{name} must be HOST:PORT, not {text!r}")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """One broker of the platform."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: api.Settings
+    classes: tuple[str, ...]
+    writes: tuple[bool, ...]
+    plans: tuple[str, ...]
+    zones: tuple[str, ...]
+    connect_us: int
+    keepalive_us: int
+    sockets: int
+    known: Mapping[str, Any]
+
+
+def _limit(facts: Mapping[str, Any], name: str) -> int:
+    value = facts["limits"].get(name)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
+        raise SettingsError(f"settings lack the number 'limits.{name}'")
+    return int(value)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Platform:
+    """The platform's configuration; a variable goes before the same key of the file."""
+    path = environment.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        told = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"cannot read ROUTER_CONFIG {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"ROUTER_CONFIG {path} is not JSON: {error}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"ROUTER_CONFIG {path} must hold an object")
+    for key in ("name", "listen", "discovery"):
+        told[key] = environment.get(f"ROUTER_{key.upper()}") or told.get(key)
+        if not told[key]:
+            raise ConfigError(f"neither ROUTER_{key.upper()} nor '{key}' is set")
+    try:
+        seed = int(str(told.get("seed") or "0"), 16)
+    except ValueError:
+        raise ConfigError(f"'seed' must be hex digits, not {told['seed']!r}") from None
+    try:
+        return _platform(told, seed)
+    except SettingsError as error:
+        raise ConfigError(str(error)) from None
+
+
+def _platform(told: dict[str, Any], seed: int) -> Platform:
+    facts = told.get("settings")
+    settings = settings_from(facts)
+    assert isinstance(facts, dict)  # settings_from saw to it
+    classes = names(facts, "classes")
+    writes = facts["family-info"].get("class-writes")
+    if not isinstance(writes, list) or len(writes) != len(classes):
+        raise SettingsError("settings lack the list 'family-info.class-writes'")
+    limits, known = told.get("limits"), told.get("known")
+    sockets = limits.get("sockets") if isinstance(limits, dict) else None
+    return Platform(
+        name=str(told["name"]),
+        listen=Address.parse(told["listen"], "'listen'"),
+        discovery=Address.parse(told["discovery"], "'discovery'"),
+        seed=seed,
+        settings=settings,
+        classes=classes,
+        writes=tuple(map(bool, writes)),
+        plans=names(facts, "grades"),
+        zones=tuple(map(str, facts.get("azs") or ())),
+        connect_us=_limit(facts, "connect-timeout-us"),
+        keepalive_us=_limit(facts, "keepalive-us"),
+        sockets=sockets if isinstance(sockets, int) and sockets > 0 else SOCKETS,
+        known=known if isinstance(known, dict) else {},
+    )
--- /dev/null
+++ b/lemonridge/core/broker.py
@@ -0,0 +1,100 @@
+"""The life of a request, from its arrival to its one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from lemonridge import api
+from lemonridge.core.decider import Decider, Mailbox
+from lemonridge.core.model import (
+    Answer,
+    Attempt,
+    Kind,
+    Nodes,
+    Outcome,
+    Request,
+    UnreachedError,
+    WithheldError,
+)  # fmt: skip
+from lemonridge.counters import Counters
+
+log = logging.getLogger(__name__)
+
+
+class Broker:
+    """Carries requests: the decider says what to do, the nodes' side does it."""
+
+    def __init__(self, decider: Decider, nodes: Nodes, counters: Counters) -> None:
+        self._decider, self._nodes, self._counters = decider, nodes, counters
+        self._lives: set[asyncio.Task[None]] = set()
+
+    async def serve(self, request: Request) -> Answer:
+        """The final answer to a request; to cancel this tells that the client has gone.
+
+        The life goes on behind it until its last attempt has ended, as the node works on too.
+        """
+        mailbox = self._decider.open(request)
+        life = asyncio.create_task(self.carry(mailbox))
+        self._lives.add(life)
+        life.add_done_callback(self._lives.discard)
+        try:
+            answer = await asyncio.shield(mailbox.answer)
+        except asyncio.CancelledError:
+            if mailbox.settle(Answer(Kind.GONE)):
+                self._decider.tell(api.Gone(mailbox.name))
+                self._counters["answers.gone"] += 1
+            raise
+        self._counters[f"answers.{answer.kind.value}"] += 1
+        return answer
+
+    async def carry(self, mailbox: Mailbox) -> None:
+        """One request's life: send where the module says, report each end, until it is over."""
+        number = 0
+        try:
+            self._counters["requests.taken"] += 1
+            while (order := await mailbox.next_send()) is not None:
+                sent_us = self._decider.clock.now_us()
+                outcome = await self._attempt(mailbox, Attempt(mailbox.request, number, order.node))
+                lag_us = self._decider.clock.now_us() - sent_us
+                if outcome.result is api.Result.OK:
+                    mailbox.settle(Answer(Kind.SERVED, outcome.reply))
+                self._decider.tell(api.Ended(
+                    mailbox.name, number, order.node, outcome.result, lag_us, mailbox.answer.done(),
+                    outcome.used, outcome.elsewhere, outcome.held,
+                ))  # fmt: skip
+                number += 1
+        except Exception:
+            log.exception("request failed")
+            self._counters["requests.broken"] += 1
+        finally:
+            if mailbox.settle(Answer(Kind.FAILED)):
+                self._decider.tell(api.Gone(mailbox.name))
+            self._decider.close(mailbox)
+
+    async def _attempt(self, mailbox: Mailbox, attempt: Attempt) -> Outcome:
+        """One attempt, until the request's deadline or until it is called off.
+
+        What never came to the node cannot have run; what did may have, whatever cut it short.
+        """
+        mailbox.number, mailbox.cancelled = attempt.number, False
+        try:
+            at = self._decider.clock.loop_time(mailbox.request.deadline_us)
+            async with asyncio.timeout_at(at) as mailbox.scope:
+                outcome = await self._nodes.attempt(attempt)
+        except TimeoutError:
+            if not attempt.reached:
+                outcome = Outcome(api.Result.MOOT if mailbox.cancelled else api.Result.UNREACHED)
+            else:
+                outcome = Outcome(api.Result.CANCELLED if mailbox.cancelled else api.Result.TIMEOUT)
+        except UnreachedError:
+            outcome = Outcome(api.Result.UNREACHED)
+        except WithheldError:
+            outcome = Outcome(api.Result.MOOT)
+        except Exception:
+            log.exception("attempt failed")
+            outcome = Outcome(api.Result.RESET if attempt.reached else api.Result.UNREACHED)
+        mailbox.scope = None
+        self._counters["attempts.sent"] += attempt.reached
+        self._counters[f"attempts.{outcome.result.name.lower()}"] += 1
+        return outcome
--- /dev/null
+++ b/lemonridge/core/decider.py
@@ -0,0 +1,146 @@
+"""The host of the decision module: its clock, its one timer, and a mailbox for each request."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from lemonridge import api
+from lemonridge.core.clock import Clock
+from lemonridge.core.model import Answer, Kind, Request
+from lemonridge.counters import Counters
+from lemonridge.policy import Scheduler
+
+log = logging.getLogger(__name__)
+
+
+class Mailbox:
+    """What was decided for one request, and its one final answer."""
+
+    def __init__(self, name: str, request: Request) -> None:
+        self.name, self.request = name, request
+        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.scope: asyncio.Timeout | None = None  # of the attempt in flight
+        self.number = -1  # of the attempt in flight
+        self.cancelled = False  # it was called off
+        self._orders: deque[api.Send] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+
+    def settle(self, answer: Answer) -> bool:
+        """Give the final answer, unless there is one."""
+        if self.answer.done():
+            return False
+        self.answer.set_result(answer)
+        self._wake()
+        return True
+
+    def deliver(self, action: api.Send | api.Cancel | api.Refuse | api.Fail) -> None:
+        """Take a decision. A final answer leaves at once, also while an attempt is out."""
+        if isinstance(action, api.Send):
+            self._orders.append(action)
+            self._wake()
+        elif isinstance(action, api.Refuse):
+            self.settle(Answer(Kind.REFUSED, backoff_us=action.backoff_us))
+        elif isinstance(action, api.Fail):
+            self.settle(Answer(Kind.FAILED))
+        elif self.scope is not None and not self.scope.expired() and action.attempt == self.number:
+            self.cancelled = True
+            self.scope.reschedule(asyncio.get_running_loop().time())
+
+    async def next_send(self) -> api.Send | None:
+        """The next attempt to make; None once the request is over."""
+        while not self._orders:
+            if self.answer.done():
+                return None
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._orders.popleft()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class Decider:
+    """Owns the scheduler. The events of one turn of the event loop go to it together."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, counters: Counters) -> None:
+        self._settings, self._seed = settings, seed
+        self.clock, self._counters = clock, counters
+        self._loop = asyncio.get_running_loop()
+        self._scheduler = Scheduler(settings, seed)
+        self._mailboxes: dict[str, Mailbox] = {}
+        self._events: list[api.Event] = []
+        self._due = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._taken = 0
+        self.relist: Callable[[], tuple[api.Entry, ...]] = tuple
+
+    @property
+    def held(self) -> int:
+        """How many requests have a life that is not over."""
+        return len(self._mailboxes)
+
+    def open(self, request: Request) -> Mailbox:
+        """A request begins. The name is the core's own: a client may send an id twice."""
+        self._taken += 1
+        mailbox = Mailbox(f"r{self._taken}", request)
+        self._mailboxes[mailbox.name] = mailbox
+        self.tell(api.Arrived(mailbox.name, request.shard, request.volume, request.deadline_us, request.key,
+                              request.cls, request.plan, request.units, request.hosts))
+        return mailbox
+
+    def close(self, mailbox: Mailbox) -> None:
+        """The life of a request is over."""
+        self._mailboxes.pop(mailbox.name, None)
+
+    def tell(self, event: api.Event) -> None:
+        """Note an event for the end of this turn of the loop."""
+        self._events.append(event)
+        if not self._due:
+            self._due = True
+            self._loop.call_soon(self._decide)
+
+    def _decide(self) -> None:
+        events, self._events, self._due = self._events, [], False
+        try:
+            actions = self._scheduler.handle(self.clock.now_us(), events)
+        except Exception:
+            self._start_over()
+            return
+        for action in actions:
+            if isinstance(action, api.Wake):
+                self._wake_at(action.at_us)
+            elif not isinstance(action, api.Subscribe):  # the watch of the node list never ends
+                mailbox = self._mailboxes.get(action.request)
+                if mailbox is not None:
+                    mailbox.deliver(action)
+
+    def _wake_at(self, at_us: int) -> None:
+        """The module asks again at each earlier need, so the last asked for is the only one."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self.clock.loop_time(at_us), self._woke)
+
+    def _woke(self) -> None:
+        self._timer = None
+        self.tell(api.Woke())
+
+    def _start_over(self) -> None:
+        """An exception left the module's state in doubt: answer what it held, begin a new one.
+
+        Guards against a fault in the decisions that would leave clients without an answer; the ends
+        of attempts that are still out mean nothing to the new module, which ignores them.
+        """
+        log.exception("decisions failed", extra={"held": len(self._mailboxes)})
+        self._counters["decisions.failed"] += 1
+        for mailbox in list(self._mailboxes.values()):
+            mailbox.settle(Answer(Kind.FAILED))
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._seed += 1
+        self._scheduler = Scheduler(self._settings, self._seed)
+        self.tell(api.Listed(api.ListKind.STALE, self.relist()))
--- /dev/null
+++ b/lemonridge/core/directory.py
@@ -0,0 +1,58 @@
+"""The node list as this broker has last been told it: who may get new work, and at which address."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import Protocol
+
+from lemonridge import api
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One line of the list with the address to dial."""
+
+    entry: api.Entry
+    address: str
+
+
+class Sink(Protocol):
+    """Takes events; the decider does."""
+
+    def tell(self, event: api.Event) -> None: ...
+
+
+class Directory:
+    """The map from node to address, kept in step with what the decisions are told."""
+
+    def __init__(self, sink: Sink) -> None:
+        self._sink = sink
+        self._nodes: dict[str, Listing] = {}
+        self.listed = False
+
+    def take(self, kind: api.ListKind, listings: list[Listing]) -> None:
+        """Apply a change, or a whole list: a node that it does not name is gone."""
+        if kind is not api.ListKind.PATCH:
+            self._nodes = {}
+        for listing in listings:
+            if listing.entry.condition is api.Condition.LEFT:
+                self._nodes.pop(listing.entry.node, None)
+            else:
+                self._nodes[listing.entry.node] = listing
+            log.info("listed", extra={"node": listing.entry.node, "condition": listing.entry.condition.value,
+                                      "shard": listing.entry.shard, "started_us": listing.entry.started_us})
+        self.listed = self.listed or bool(listings)
+        self._sink.tell(api.Listed(kind, tuple(listing.entry for listing in listings)))
+
+    def entries(self) -> tuple[api.Entry, ...]:
+        return tuple(listing.entry for listing in self._nodes.values())
+
+    def address(self, node: str) -> str | None:
+        """Where to send new work for `node`; None where the list forbids it."""
+        listing = self._nodes.get(node)
+        if listing is None or listing.entry.condition is not api.Condition.ACTIVE:
+            return None
+        return listing.address
--- /dev/null
+++ b/lemonridge/core/model.py
@@ -0,0 +1,77 @@
+"""What the core deals in: a request, the attempts made for it, their outcomes and its one answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from lemonridge import api
+
+
+@dataclass(slots=True)
+class Request:
+    """What a client asks for. `payload` belongs to the wire that it came by; the core passes it on."""
+
+    shard: int
+    volume: int
+    deadline_us: int
+    key: int
+    cls: int
+    plan: int
+    units: float
+    hosts: int
+    payload: object
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One try of a request at one node. `reached` is set just before its first byte is written."""
+
+    request: Request
+    number: int
+    node: str
+    reached: bool = False
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How an attempt ended; `reply` is the node's answer, in the form of its wire."""
+
+    result: api.Result
+    reply: object = None
+    used: int | None = None
+    elsewhere: float | None = None
+    held: float | None = None
+
+
+class Kind(Enum):
+    """The three final answers, and the end of a request whose client has left."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    GONE = "gone"
+
+
+@dataclass(slots=True)
+class Answer:
+    """The one final answer to a request."""
+
+    kind: Kind
+    reply: object = None
+    backoff_us: int = 0
+
+
+class UnreachedError(Exception):
+    """The attempt never came to the node: it cannot have run."""
+
+
+class WithheldError(Exception):
+    """The attempt was held back before its first byte, because the node must get nothing new."""
+
+
+class Nodes(Protocol):
+    """The side towards the nodes. Makes one attempt; whoever calls it watches the deadline."""
+
+    async def attempt(self, attempt: Attempt) -> Outcome: ...
--- /dev/null
+++ b/lemonridge/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's wire: HTTP/1.1 towards clients, nodes and discovery."""
--- /dev/null
+++ b/lemonridge/net/discovery.py
@@ -0,0 +1,100 @@
+"""The watch of the platform's node list."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from random import Random
+from typing import Any
+
+import aiohttp
+import orjson
+
+from lemonridge import api
+from lemonridge.core.directory import Directory, Listing
+from lemonridge.counters import Counters
+from lemonridge.net.wire import session
+
+log = logging.getLogger(__name__)
+
+WAIT_S = 60.0  # the longest wait that discovery allows: the fewest gaps between calls
+GRACE_S = 2.0  # past the wait: a call that is silent for longer is lost
+PAUSE_S = 0.05  # before the first retry, doubled up to the limit below
+PAUSE_TOP_S = 1.0
+CONDITIONS = {"up": api.Condition.ACTIVE, "draining": api.Condition.LEAVING, "removed": api.Condition.LEFT}
+
+
+class MalformedError(Exception):
+    """An answer that is not a node list."""
+
+
+def listings(told: Any, zones: tuple[str, ...]) -> list[Listing]:
+    """The lines of a list in discovery's form."""
+    try:
+        return [
+            Listing(
+                api.Entry(
+                    node=str(row["host"]),
+                    shard=int(row["block"]),
+                    zone=_zone(row["site"], zones),
+                    condition=CONDITIONS[row["health"]],
+                    started_us=int(row["born_ms"] or 0) * 1000,
+                ),
+                str(row["dial"]),
+            )
+            for row in told["hosts"]
+        ]
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedError(f"{type(error).__name__}: {error}") from None
+
+
+def _zone(site: Any, zones: tuple[str, ...]) -> int:
+    """A site's number: its place among the settings' zones, by its name or by the last part of it."""
+    for number, zone in enumerate(zones):
+        if site == zone or zone.rpartition("-")[2] == site:
+            return number
+    return sum(map(ord, str(site))) + len(zones)  # unknown: alike for like names, which is all that counts
+
+
+class Discovery:
+    """Keeps the directory in step with discovery; `run` never returns."""
+
+    def __init__(self, address: str, zones: tuple[str, ...], directory: Directory, random: Random,
+                 counters: Counters) -> None:
+        self._url, self._zones, self._directory = f"http://{address}/api/targets", zones, directory
+        self._random, self._counters = random, counters
+
+    async def run(self) -> None:
+        """Take the whole list, then watch; the next call leaves at once, or it would be a new watch."""
+        loop = asyncio.get_running_loop()
+        async with session(aiohttp.TCPConnector(limit=0, happy_eyeballs_delay=None)) as client:
+            seq: int | None = None
+            failed = 0
+            while True:
+                query = "" if seq is None else f"?after={seq}&wait_ms={int(WAIT_S * 1000)}"
+                try:
+                    async with asyncio.timeout_at(loop.time() + WAIT_S + GRACE_S):
+                        async with client.get(self._url + query, allow_redirects=False) as answer:
+                            body = await answer.read()
+                    if answer.status != 200:
+                        raise MalformedError(f"status {answer.status}")
+                    seq, failed = self._take(body), 0
+                except (aiohttp.ClientError, OSError, MalformedError) as error:
+                    self._counters["discovery.failed"] += 1
+                    log.warning("discovery failed", extra={"error": f"{type(error).__name__}: {error}"})
+                    seq = None  # what happened meanwhile is only in the whole list
+                    pause = min(PAUSE_TOP_S, PAUSE_S * 2**failed)
+                    failed = min(failed + 1, 16)
+                    await asyncio.sleep(pause * self._random.uniform(0.5, 1.5))
+
+    def _take(self, body: bytes) -> int:
+        try:
+            told = orjson.loads(body)
+            seq, whole = int(told["seq"]), bool(told["whole"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise MalformedError(f"{type(error).__name__}: {error}") from None
+        lines = listings(told, self._zones)
+        self._counters["discovery.answers"] += 1
+        if lines or whole:
+            self._directory.take(api.ListKind.WHOLE if whole else api.ListKind.PATCH, lines)
+        return seq
--- /dev/null
+++ b/lemonridge/net/http_nodes.py
@@ -0,0 +1,167 @@
+"""The platform's nodes: one attempt over HTTP/1.1, one outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientRequest, ConnectionKey
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
+from yarl import URL
+
+from lemonridge import api
+from lemonridge.core.clock import Clock
+from lemonridge.core.directory import Directory
+from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
+from lemonridge.counters import Counters
+from lemonridge.net.wire import BODY_MAX, Payload, session
+
+RETIRE = 0.9  # of the time after which a node closes an idle connection: a later request is a reset
+
+
+class _Broken(aiohttp.ClientError):
+    """A connection broke. Not one of the errors after which aiohttp sends a request again."""
+
+
+async def _once(request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType) -> aiohttp.ClientResponse:
+    """Let a request reach a node once.
+
+    Guards against aiohttp's own resend: when a reused connection breaks it repeats GET, PUT and
+    others without a word, an attempt that no one has decided on.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _Broken(str(error)) from error
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Connections to nodes: the latest used is reused first, and a connect has a deadline of its own."""
+
+    def __init__(self, connect_us: int, keepalive_us: int, counters: Counters) -> None:
+        super().__init__(limit=0, limit_per_host=0, keepalive_timeout=keepalive_us * RETIRE / 1e6,
+                         happy_eyeballs_delay=None, use_dns_cache=False)
+        self._connect_us, self._counters = connect_us, counters
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        try:
+            async with asyncio.timeout_at(self._loop.time() + self._connect_us / 1e6):
+                return await super().connect(req, traces, timeout)
+        except TimeoutError:
+            raise UnreachedError from None
+
+    async def _create_connection(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> ResponseHandler:
+        self._counters["connections.opened"] += 1
+        return await super()._create_connection(req, traces, timeout)
+
+    def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
+        """aiohttp takes from the left and gives back on the right, so that every connection stays in
+        use; given back on the left, the ones that are not needed grow old and are closed."""
+        super()._release(key, protocol, should_close=should_close)
+        idle = self._conns.get(key)
+        if idle and idle[-1][0] is protocol:
+            idle.rotate(1)
+
+
+class HttpNodes:
+    """Makes attempts at the platform's nodes."""
+
+    def __init__(self, directory: Directory, clock: Clock, connect_us: int, keepalive_us: int,
+                 counters: Counters) -> None:
+        self._directory, self._clock = directory, clock
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(self._before_first_byte)
+        self._session = session(
+            _Connector(connect_us, keepalive_us, counters), middlewares=(_once,), trace_configs=[trace]
+        )
+
+    async def attempt(self, attempt: Attempt) -> Outcome:
+        """Send the request once and read the answer."""
+        payload = attempt.request.payload
+        assert isinstance(payload, Payload)
+        address = self._directory.address(attempt.node)
+        if address is None:
+            raise WithheldError
+        left_ms = (attempt.request.deadline_us - self._clock.now_us()) // 1000
+        headers = {**payload.headers, "X-Deadline-Ms": str(max(1, left_ms))}
+        try:
+            async with self._session.request(
+                payload.method, URL(f"http://{address}{payload.target}", encoded=True), headers=headers,
+                data=payload.body or None, allow_redirects=False, trace_request_ctx=attempt,
+            ) as response:  # fmt: skip
+                return await self._outcome(response)
+        except aiohttp.ClientConnectorError:
+            raise UnreachedError from None
+        except (aiohttp.ClientError, OSError):
+            if not attempt.reached:
+                raise UnreachedError from None
+            return Outcome(api.Result.RESET)
+
+    async def close(self) -> None:
+        await self._session.close()
+
+    async def _before_first_byte(
+        self, _: aiohttp.ClientSession, context: SimpleNamespace, __: aiohttp.TraceRequestHeadersSentParams
+    ) -> None:
+        """aiohttp calls this once it has a connection and before it writes.
+
+        Guards the drain rule: the list may have changed while the connection was being made.
+        """
+        attempt: Attempt = context.trace_request_ctx
+        if self._directory.address(attempt.node) is None:
+            raise WithheldError
+        attempt.reached = True
+
+    async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > BODY_MAX:
+                response.close()
+                return Outcome(api.Result.ERROR)
+        headers = response.headers
+        told: dict[str, Any] = {
+            "used": _whole(headers.get("X-Iops-Used"), 1),
+            "elsewhere": _number(headers.get("X-Rho")),
+            "held": _load(headers.get("X-Load")).get("inflight"),
+        }
+        if response.status == 200:
+            return Outcome(api.Result.OK, bytes(body), **told)
+        if response.status in (503, 504) and headers.get("X-Not-Run") == "1":
+            return Outcome(api.Result.FULL, **told)
+        return Outcome(api.Result.ERROR, **told)
+
+
+def _number(text: str | None) -> float | None:
+    """A number that a node told, or None: what cannot be read is not told."""
+    try:
+        value = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return value if value is not None and 0 <= value < 1e12 else None
+
+
+def _whole(text: str | None, more: int) -> int | None:
+    value = _number(text)
+    return None if value is None else int(value) + more
+
+
+def _load(text: str | None) -> dict[str, float]:
+    """A load report, `inflight=7,queue=2`."""
+    report: dict[str, float] = {}
+    for part in (text or "").split(","):
+        name, _, figure = part.partition("=")
+        value = _number(figure)
+        if value is not None:
+            report[name.strip()] = value
+    return report
--- /dev/null
+++ b/lemonridge/net/wire.py
@@ -0,0 +1,33 @@
+"""What the platform's front and its nodes' side share: the payload of a request, and the limits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import aiohttp
+
+BODY_MAX = 64 * 1024
+
+
+@dataclass(slots=True)
+class Payload:
+    """What passes on unchanged from the client to a node."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def session(connector: aiohttp.BaseConnector, **options: object) -> aiohttp.ClientSession:
+    """A client that does nothing of its own: it keeps no cookies, asks no proxy, adds no header,
+    decompresses nothing and knows no time-out, since every deadline is the caller's."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, connect=None, sock_read=None, sock_connect=None),
+        trust_env=False,
+        auto_decompress=False,
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
+        **options,  # type: ignore[arg-type]
+    )
--- /dev/null
+++ b/lemonridge/settings.py
@@ -0,0 +1,108 @@
+"""The settings of a deployment, as the simulator's first message and a broker's configuration hold them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lemonridge import api
+
+SEMANTICS = {
+    "repeatable": api.Semantics.SAFE,
+    "by_key": api.Semantics.KEYED,
+    "once": api.Semantics.ONCE,
+}
+
+
+class SettingsError(Exception):
+    """Settings that lack something; the text is fit to print."""
+
+
+def _part(facts: Any, name: str) -> dict[str, Any]:
+    part = facts.get(name) if isinstance(facts, dict) else None
+    if not isinstance(part, dict):
+        raise SettingsError(f"settings lack the table '{name}'")
+    return part
+
+
+def _number(table: dict[str, Any], name: str, path: str) -> Any:
+    value = table.get(name)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise SettingsError(f"settings lack the number '{path}.{name}'")
+    return value
+
+
+def _rows(facts: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    rows = facts.get(name)
+    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+        raise SettingsError(f"settings lack the list '{name}'")
+    return rows
+
+
+def _class(row: dict[str, Any]) -> api.ClassInfo:
+    semantics = SEMANTICS.get(row.get("semantics", ""))
+    if semantics is None:
+        raise SettingsError("settings lack a known 'classes.semantics'")
+    keyed = semantics is api.Semantics.KEYED
+    try:
+        group = api.Group(row["group"]) if keyed else api.Group.ALL
+    except (KeyError, ValueError):
+        raise SettingsError("settings lack a known 'classes.group'") from None
+    return api.ClassInfo(
+        aim_us=_number(row, "aim-us", "classes"),
+        deadline_us=_number(row, "deadline-us", "classes"),
+        semantics=semantics,
+        group=group,
+        memory_us=_number(row, "memory-span-us", "classes") if keyed else 0,
+        sequential=bool(row.get("sequential", False)),
+        worth=row.get("gain") or 0.0,
+    )
+
+
+def _plan(row: dict[str, Any]) -> api.Plan:
+    return api.Plan(
+        base_rate=row.get("base-rate") or 0.0,
+        reserve=row.get("guaranteed") or 0.0,
+        weight=row.get("weight") or 0.0,
+        limit=row.get("cap") or 0.0,
+        burst=row.get("burst") or 0.0,
+        slack=row.get("limit-slack") or 0.0,
+    )
+
+
+def settings_from(facts: Any) -> api.Settings:
+    """The module's settings from the wire's; keys that are not known are ignored."""
+    rules, limits = _part(facts, "rules"), _part(facts, "limits")
+    family = _part(facts, "family-info")
+    return api.Settings(
+        hosts=_number(facts, "fleet-size", "facts"),
+        classes=tuple(map(_class, _rows(facts, "classes"))),
+        plans=tuple(map(_plan, _rows(facts, "grades"))),
+        asks_list=facts.get("discovery") == "ask",
+        units_top=family.get("units-top") or 0.0,
+        units_mean=family.get("unit-mean") or 0.0,
+        cold_units=family.get("cold-units") or 0.0,
+        tip_multiple=rules.get("tip-multiple") or 0.0,
+        tells_elsewhere=bool(family.get("tells-elsewhere")),
+        meter_us=family.get("meter-us") or 0,
+        max_attempts=_number(limits, "max-attempts", "limits"),
+        may_cancel=bool(limits.get("cancelling")),
+        max_backoff_us=(limits.get("max-retry-after-us") or 0) if limits.get("retry-after") else 0,
+        tick_us=_number(facts, "tick-us", "facts"),
+        ask_within_us=rules.get("ask-within-us") or 0,
+        cold_share=_number(rules, "cold-share", "rules"),
+        ramp_us=_number(rules, "ramp-time-us", "rules"),
+        fall_us=_number(rules, "fall-us", "rules"),
+        drain_grace_us=_number(rules, "drain-grace-us", "rules"),
+        look_back_us=rules.get("look-back-us") or 0,
+        free_resends=rules.get("free-resends") or 0.0,
+        extra_ratio=rules.get("extra-ratio") or 0.0,
+        key_rest_us=rules.get("key-rest-us") or 0,
+    )
+
+
+def names(facts: dict[str, Any], table: str) -> tuple[str, ...]:
+    """The names of the rows of a table, in the order of their numbers."""
+    rows = _rows(facts, table)
+    if not all(isinstance(row.get("name"), str) for row in rows):
+        raise SettingsError(f"settings lack a name in '{table}'")
+    return tuple(row["name"] for row in rows)
--- a/lemonridge/simhost.py
+++ b/lemonridge/simhost.py
@@ -12,6 +12,7 @@
 
 from lemonridge import api
 from lemonridge.policy import Scheduler
+from lemonridge.settings import SettingsError, settings_from
 
 RESULTS = {
     0: api.Result.OK,
@@ -23,11 +24,6 @@
     250: api.Result.CANCELLED,
     249: api.Result.MOOT,
 }
-SEMANTICS = {
-    "repeatable": api.Semantics.SAFE,
-    "by_key": api.Semantics.KEYED,
-    "once": api.Semantics.ONCE,
-}
 LIST_KINDS = {
     "patch": api.ListKind.PATCH,
     "whole": api.ListKind.WHOLE,
@@ -40,89 +36,6 @@
     """A line that the wire does not allow; the text is fit to print."""
 
 
-def _part(facts: Any, name: str) -> dict[str, Any]:
-    part = facts.get(name) if isinstance(facts, dict) else None
-    if not isinstance(part, dict):
-        raise WireError(f"settings lack the table '{name}'")
-    return part
-
-
-def _number(table: dict[str, Any], name: str, path: str) -> Any:
-    value = table.get(name)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise WireError(f"settings lack the number '{path}.{name}'")
-    return value
-
-
-def _rows(facts: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    rows = facts.get(name)
-    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise WireError(f"settings lack the list '{name}'")
-    return rows
-
-
-def _class(row: dict[str, Any]) -> api.ClassInfo:
-    semantics = SEMANTICS.get(row.get("semantics", ""))
-    if semantics is None:
-        raise WireError("settings lack a known 'classes.semantics'")
-    keyed = semantics is api.Semantics.KEYED
-    try:
-        group = api.Group(row["group"]) if keyed else api.Group.ALL
-    except (KeyError, ValueError):
-        raise WireError("settings lack a known 'classes.group'") from None
-    return api.ClassInfo(
-        aim_us=_number(row, "aim-us", "classes"),
-        deadline_us=_number(row, "deadline-us", "classes"),
-        semantics=semantics,
-        group=group,
-        memory_us=_number(row, "memory-span-us", "classes") if keyed else 0,
-        sequential=bool(row.get("sequential", False)),
-        worth=row.get("gain") or 0.0,
-    )
-
-
-def _plan(row: dict[str, Any]) -> api.Plan:
-    return api.Plan(
-        base_rate=row.get("base-rate") or 0.0,
-        reserve=row.get("guaranteed") or 0.0,
-        weight=row.get("weight") or 0.0,
-        limit=row.get("cap") or 0.0,
-        burst=row.get("burst") or 0.0,
-        slack=row.get("limit-slack") or 0.0,
-    )
-
-
-def settings_from(facts: Any) -> api.Settings:
-    """The module's settings from the wire's; keys that are not known are ignored."""
-    rules, limits = _part(facts, "rules"), _part(facts, "limits")
-    family = _part(facts, "family-info")
-    return api.Settings(
-        hosts=_number(facts, "fleet-size", "facts"),
-        classes=tuple(map(_class, _rows(facts, "classes"))),
-        plans=tuple(map(_plan, _rows(facts, "grades"))),
-        asks_list=facts.get("discovery") == "ask",
-        units_top=family.get("units-top") or 0.0,
-        units_mean=family.get("unit-mean") or 0.0,
-        cold_units=family.get("cold-units") or 0.0,
-        tip_multiple=rules.get("tip-multiple") or 0.0,
-        tells_elsewhere=bool(family.get("tells-elsewhere")),
-        meter_us=family.get("meter-us") or 0,
-        max_attempts=_number(limits, "max-attempts", "limits"),
-        may_cancel=bool(limits.get("cancelling")),
-        max_backoff_us=(limits.get("max-retry-after-us") or 0) if limits.get("retry-after") else 0,
-        tick_us=_number(facts, "tick-us", "facts"),
-        ask_within_us=rules.get("ask-within-us") or 0,
-        cold_share=_number(rules, "cold-share", "rules"),
-        ramp_us=_number(rules, "ramp-time-us", "rules"),
-        fall_us=_number(rules, "fall-us", "rules"),
-        drain_grace_us=_number(rules, "drain-grace-us", "rules"),
-        look_back_us=rules.get("look-back-us") or 0,
-        free_resends=rules.get("free-resends") or 0.0,
-        extra_ratio=rules.get("extra-ratio") or 0.0,
-        key_rest_us=rules.get("key-rest-us") or 0,
-    )
-
-
 def _entry(row: list[Any]) -> api.Entry:
     return api.Entry(
         node=row[5],
@@ -201,7 +114,7 @@
         for item in happened:
             try:
                 self._take(item, waiting)
-            except WireError:
+            except (WireError, SettingsError):
                 raise
             except (ValueError, KeyError, TypeError, IndexError, AttributeError):
                 raise WireError(f"malformed event: {str(item)[:120]}") from None
@@ -267,7 +180,7 @@
     """Serve standard input; a malformed line ends it with one plain line on standard error."""
     try:
         run(sys.stdin, sys.stdout)
-    except WireError as error:
+    except (WireError, SettingsError) as error:
         print(f"lemonridge: {error}", file=sys.stderr)
         return 2
     except UnicodeDecodeError:
