Test the platform's broker as a process; close idle connections at SIGTERM

Seen: after SIGTERM the program never ended while a client kept an idle connection. aiohttp's pre_shutdown cancels the task that waits for the next request and leaves the transport open (web_protocol.py, close and start).

Changed: at the end of the tail the front closes every connection without an unwritten answer itself, and writes answers inside its handler so that it knows which those are.

Conclusion: sixteen tests hold the traps of the platform's wire; the program exits 0 after SIGTERM with idle clients.

--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -48,6 +48,7 @@
         self._listener: asyncio.Server | None = None
         self._server: web.Server | None = None
         self._stopping = False
+        self._busy: set[object] = set()  # connections with a request whose answer is not written yet
 
     async def start(self, address: Address) -> None:
         """Listen; what comes is served from here on."""
@@ -64,26 +65,36 @@
         self._stopping = True
         await asyncio.sleep(TAIL_S)
         self._listener.close()
-        self._server.pre_shutdown()
+        self._server.pre_shutdown()  # ends those that are busy, after their answer, but not the idle ones
+        for connection in self._server.connections:
+            if connection not in self._busy:
+                connection.force_close()
 
     @property
     def busy(self) -> bool:
         """Whether an answer is still on its way."""
-        return self._server is not None and bool(self._server.connections)
+        return bool(self._busy)
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """One request of a connection, until its answer is written."""
         arrived_us = self._clock.now_us()
-        if http.path.startswith("/-/"):
-            response = self._ready(http)
-        else:
-            try:
-                response = _response(await self._broker.serve(await self._parse(http, arrived_us)))
-            except BadRequestError as error:
-                self._counters["requests.bad"] += 1
-                response = web.Response(status=error.status, text=error.text + "\n")
-        if self._stopping:
-            response.force_close()
-        return response
+        self._busy.add(http.protocol)
+        try:
+            if http.path.startswith("/-/"):
+                response = self._ready(http)
+            else:
+                try:
+                    response = _response(await self._broker.serve(await self._parse(http, arrived_us)))
+                except BadRequestError as error:
+                    self._counters["requests.bad"] += 1
+                    response = web.Response(status=error.status, text=error.text + "\n")
+            if self._stopping:
+                response.force_close()
+            await response.prepare(http)
+            await response.write_eof()
+            return response
+        finally:
+            self._busy.discard(http.protocol)
 
     def _ready(self, http: web.BaseRequest) -> web.Response:
         if http.method != "GET" or http.path != "/-/ready":
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,263 @@
+"""The one helper of the network tests: the real program as a process, and its clients and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import socket
+import struct
+import sys
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 10.0  # for anything that a test waits for; nothing waits this long unless it fails
+FACTS: dict[str, Any] = {
+    "fleet-size": 1, "discovery": "push", "tick-us": 2000, "azs": ["hall-a", "hall-b"],
+    "classes": [
+        {"aim-us": 300000, "deadline-us": 2500000, "gain": 2.0, "group": "all", "memory-span-us": 5000000,
+         "name": "read", "semantics": "repeatable"},
+        {"aim-us": 400000, "deadline-us": 2000000, "gain": 2.0, "group": "cell", "memory-span-us": 3000000,
+         "name": "new-write", "semantics": "by_key"},
+    ],
+    "grades": [{"base-rate": 12.0, "burst": 0.0, "cap": 0.0, "guaranteed": 12.0, "limit-slack": 0.0,
+                "name": "priority", "weight": 1.0, "worth-factor": 1.5}],
+    "family-info": {"class-writes": [False, True], "cold-units": 8.0, "meter-us": 500000, "n-shards": 2,
+                    "tells-elsewhere": True, "unit-mean": 2.08, "units-top": 6},
+    "limits": {"cancelling": True, "connect-timeout-us": 250000, "keepalive-us": 15000000, "max-attempts": 4,
+               "max-retry-after-us": 500000, "retry-after": True},
+    "rules": {"cold-share": 0.2, "drain-grace-us": 500000, "fall-us": 1000000, "ramp-time-us": 17000000,
+              "tip-multiple": 2.5},
+}  # fmt: skip
+
+
+@dataclass
+class Message:
+    """One HTTP message, either way."""
+
+    start: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int = 0
+
+    @property
+    def status(self) -> int:
+        return int(self.start.split()[1])
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in head[1:-2])
+    return Message(head[0], headers, await reader.readexactly(int(headers.get("content-length", 0))))
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection with RST."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+Script = Callable[["Server", Message, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class Server:
+    """A stand-in HTTP server that records what comes; `script` answers it."""
+
+    script: Script
+    seen: list[Message] = field(default_factory=list)
+    opened: int = 0
+    open: set[int] = field(default_factory=set)
+    port: int = 0
+    news: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def start(self) -> Server:
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        number = self.opened
+        self.open.add(number)
+        try:
+            while True:
+                message = await read_message(reader)
+                message.connection = number
+                self.seen.append(message)
+                await self.tell()
+                await self.script(self, message, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # the peer has gone, or the test is over
+        finally:
+            self.open.discard(number)
+            await self.tell()
+            writer.close()
+
+    async def tell(self) -> None:
+        async with self.news:
+            self.news.notify_all()
+
+    async def until(self, test: Callable[[], bool]) -> None:
+        """Wait until something that this server sees makes `test` true."""
+        async with asyncio.timeout(PATIENCE_S), self.news:
+            await self.news.wait_for(test)
+
+
+def reply(writer: asyncio.StreamWriter, body: bytes = b"", status: int = 200, **headers: str) -> None:
+    lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+
+async def serve_ok(_: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+    reply(writer, b"data of " + message.start.split()[1].encode())
+
+
+class Register:
+    """Discovery's stand-in: the whole list, and watches that end with each change."""
+
+    def __init__(self) -> None:
+        self.seq, self.rows, self.last = 1, {}, {}
+        self.changed = asyncio.Event()
+        self.broken: list[bytes] = []  # answered first, as they are
+
+    async def script(self, server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+        if self.broken:
+            writer.write(self.broken.pop(0))
+        elif "after=" not in message.start:
+            reply(writer, self.answer(True, list(self.rows.values())))
+        else:
+            await self.changed.wait()
+            self.changed.clear()
+            reply(writer, self.answer(False, [self.last]))
+
+    def answer(self, whole: bool, hosts: list[Any]) -> bytes:
+        return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
+
+    def set(self, host: str, port: int, shard: int = 0, health: str = "up", born_ms: int = 0) -> None:
+        self.last = {"host": host, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m", "block": shard,
+                     "health": health, "share": 1.0, "born_ms": born_ms}
+        self.rows[host] = self.last
+        self.seq += 1
+        self.changed.set()
+
+
+def free_port() -> int:
+    """A port that the system chose; the program binds it with SO_REUSEADDR right after."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Program:
+    """The real program."""
+
+    async def start(self, *arguments: str, **environment: str) -> Program:
+        self.lines: list[str] = []
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lemonridge", *arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", **environment})
+        return self
+
+    async def line(self, word: str) -> str:
+        """The next log line that holds `word`."""
+        assert self.process.stderr is not None
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                text = (await self.process.stderr.readline()).decode()
+                self.lines.append(text)
+                if word in text:
+                    return text
+                if not text:
+                    raise AssertionError(f"the program ended without {word!r}: {''.join(self.lines)}")
+
+    async def counters(self) -> dict[str, int]:
+        self.process.send_signal(signal.SIGUSR1)
+        pairs = (pair.partition("=") for pair in (await self.line("event=counters")).split())
+        return {name: int(value) for name, _, value in pairs if value.isdigit()}
+
+    async def end(self, name: signal.Signals = signal.SIGTERM) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(name)
+        async with asyncio.timeout(PATIENCE_S):
+            assert self.process.stderr is not None
+            self.lines.append((await self.process.stderr.read()).decode())
+            return await self.process.wait()
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.count = port, 0
+
+    async def open(self) -> Client:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    async def raw(self, data: bytes) -> Message:
+        self.writer.write(data)
+        async with asyncio.timeout(PATIENCE_S):
+            return await read_message(self.reader)
+
+    def text(self, cls: str = "read", path: str | None = None, method: str | None = None, body: bytes = b"",
+             shard: int = 0, **changes: str | None) -> bytes:
+        """A request; a header given as None is left out."""
+        self.count += 1
+        write = cls == "new-write"
+        headers: dict[str, str | None] = {
+            "X-Request-Id": f"{id(self) % 2**32:08x}{self.count:08x}", "X-Class": cls,
+            "X-Qos-Policy": "priority", "X-Deadline-Ms": "2000",
+            "X-Placement": f"units=2,shard={shard},hosts=1",
+            "Idempotency-Key": "k1" if write else None, "Content-Length": str(len(body)) if body else None}
+        headers.update({name.replace("_", "-"): value for name, value in changes.items()})
+        path = path or f"/{cls}/00000003b4d60021/7f3a9c21e0b4d655"
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items() if value is not None)
+        method = method or ("PUT" if write else "GET")
+        return f"{method} {path} HTTP/1.1\r\nHost: app.svc\r\n{lines}\r\n".encode() + body
+
+    async def ask(self, cls: str = "read", **changes: Any) -> Message:
+        return await self.raw(self.text(cls, **changes))
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """One program, its discovery and one node."""
+
+    facts: dict[str, Any] = {}
+
+    async def asyncSetUp(self) -> None:
+        self.register = Register()
+        self.discovery = await Server(self.register.script).start()
+        self.node = await Server(serve_ok).start()
+        self.register.set("s-1", self.node.port)
+        await self.launch()
+        self.client = await self.connect()
+
+    async def launch(self, known: dict[str, Any] | None = None) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        facts = copy.deepcopy(FACTS)
+        for table, changes in self.facts.items():
+            facts[table].update(changes)
+        config = Path(folder.name) / "config.json"
+        config.write_text(json.dumps({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "seed": "8c1f30d27a5be964", "known": known or {}, "settings": facts}))
+        self.program = await Program().start("serve", ROUTER_CONFIG=str(config))
+        self.addAsyncCleanup(self.program.end, signal.SIGKILL)
+        self.port = int((await self.program.line("event=listening")).rsplit(":", 1)[1])
+
+    async def connect(self, ready: bool = True) -> Client:
+        client = await Client(self.port).open()
+        while ready and (await client.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")).status != 200:
+            await asyncio.sleep(0)
+        self.addCleanup(client.writer.close)
+        return client
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,265 @@
+"""The platform's broker as a process, met by clients, nodes and discovery as they are."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import time
+import unittest
+
+from harness import Client, Message, PlatformCase, Program, Server, reply, reset, serve_ok
+
+from lemonridge import api
+from lemonridge.core.clock import Clock
+from lemonridge.core.model import Attempt, Outcome, Request, WithheldError
+from lemonridge.counters import Counters
+from lemonridge.net.http_nodes import HttpNodes
+from lemonridge.net.wire import Payload
+
+
+class Serving(PlatformCase):
+    async def test_a_read_and_a_write_pass_through_unchanged(self) -> None:
+        path = "/read/00000003b4d60021/7f3a9c21e0b4d655?part=%2F1"
+        answer = await self.client.ask(path=path)
+        self.assertEqual((answer.status, answer.body), (200, b"data of " + path.encode()))
+        body = bytes(range(256)) * 256  # the largest allowed
+        self.assertEqual((await self.client.ask("new-write", body=body)).status, 200)
+        read, write = self.node.seen
+        self.assertEqual((read.start, write.body), (f"GET {path} HTTP/1.1", body))
+        self.assertEqual(set(read.headers), {"host", "x-request-id", "x-deadline-ms"})
+        self.assertEqual(set(write.headers) - set(read.headers), {"idempotency-key", "content-length"})
+        self.assertTrue(1900 < int(read.headers["x-deadline-ms"]) < 2000)
+
+    async def test_malformed_requests_get_4xx_and_reach_no_node(self) -> None:
+        good = "/read/00000003b4d60021/7f3a9c21e0b4d655"
+        for changes, status in (
+            ({"path": "/read/3/4"}, 404), ({"path": good.replace("7f", "zz")}, 404),
+            ({"path": good + "/1"}, 404), ({"path": good.replace("read", "nap")}, 400),
+            ({"X_Class": "new-write"}, 400), ({"X_Class": None}, 400), ({"X_Qos_Policy": "gold"}, 400),
+            ({"X_Request_Id": None}, 400), ({"X_Request_Id": "12"}, 400), ({"X_Deadline_Ms": None}, 400),
+            ({"X_Deadline_Ms": "0"}, 400), ({"X_Deadline_Ms": "-5"}, 400), ({"X_Deadline_Ms": "1e3"}, 400),
+            ({"X_Placement": None}, 400), ({"X_Placement": "units=2"}, 400),
+            ({"X_Placement": "units=0,shard=0,hosts=1"}, 400),
+            ({"X_Placement": "units=2,shard=0,hosts=0"}, 400),
+            ({"X_Placement": "units=nan,shard=0,hosts=1"}, 400), ({"method": "POST"}, 405),
+            ({"method": "PUT"}, 405), ({"body": b"x"}, 400), ({"cls": "new-write", "method": "GET"}, 405),
+            ({"cls": "new-write", "Idempotency_Key": None}, 400),
+            ({"cls": "new-write", "body": b"x" * 65537}, 413),
+        ):  # fmt: skip
+            with self.subTest(changes=changes):
+                client = await self.connect()
+                self.assertEqual((await client.ask(**changes)).status, status)
+        self.assertEqual((await (await self.connect()).raw(b"nonsense\r\n\r\n")).status, 400)
+        self.assertEqual(self.node.seen, [])
+        self.assertEqual((await self.program.counters()).get("requests.taken", 0), 0)
+
+    async def test_reset_on_a_reused_connection_reaches_the_node_once(self) -> None:
+        """aiohttp's client resends GET and PUT by itself when a reused connection breaks."""
+        async def script(server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+            if len(server.seen) > 1 and not server.seen[-2].headers.get("reset"):
+                message.headers["reset"] = "1"
+                reset(writer)
+            else:
+                reply(writer)
+
+        self.node.script = script
+        for cls in ("read", "new-write"):
+            self.node.seen.clear()
+            for status in (200, 200):
+                self.assertEqual((await self.client.ask(cls)).status, status)
+            # Two requests, and the one further attempt that the module decided on.
+            self.assertEqual(len(self.node.seen), 3)
+            self.assertEqual(self.node.seen[0].connection, self.node.seen[1].connection)
+        counted = await self.program.counters()
+        self.assertEqual((counted["attempts.sent"], counted["attempts.reset"]), (6, 2))
+
+    async def test_turned_away_is_tried_again_and_an_error_may_have_run(self) -> None:
+        async def script(server: Server, _: Message, writer: asyncio.StreamWriter) -> None:
+            if len(server.seen) == 1:
+                reply(writer, status=503, X_Not_Run="1")
+            else:
+                reply(writer, b"x", X_Iops_Used="85", X_Rho="3")
+
+        self.node.script = script
+        self.assertEqual((await self.client.ask("new-write")).status, 200)
+        counted = await self.program.counters()
+        self.assertEqual((counted["attempts.full"], counted["attempts.ok"]), (1, 1))
+
+    async def test_what_is_given_up_is_refused_at_once_with_decimal_advice(self) -> None:
+        self.node.listener.close()
+        began = time.monotonic()
+        answer = await self.client.ask(X_Deadline_Ms="9000")
+        self.assertLess(time.monotonic() - began, 4)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(".", answer.headers["retry-after"])
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    async def test_a_silent_node_is_answered_for_before_the_client_gives_up(self) -> None:
+        async def silent(*_: object) -> None:
+            await asyncio.Event().wait()
+
+        self.node.script = silent
+        began = time.monotonic()
+        self.assertEqual((await self.client.ask("new-write", X_Deadline_Ms="400")).status, 502)
+        self.assertLess(time.monotonic() - began, 0.4)
+
+    async def test_client_gone_leaves_the_attempt_to_its_end(self) -> None:
+        hold = asyncio.Event()
+
+        async def held(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await hold.wait()
+            reply(writer)
+
+        self.node.script = held
+        gone = await self.connect()
+        gone.writer.write(gone.text())
+        await self.node.until(lambda: bool(self.node.seen))
+        gone.writer.close()
+        while (await self.program.counters()).get("answers.gone", 0) < 1:
+            pass
+        hold.set()
+        while (await self.program.counters()).get("attempts.ok", 0) < 1:
+            pass
+        self.assertEqual((await self.client.ask()).status, 200)
+        counted = await self.program.counters()
+        self.assertEqual((counted["attempts.ok"], counted["answers.served"], self.node.opened), (2, 1, 1))
+
+    async def test_a_draining_node_gets_nothing_new(self) -> None:
+        self.assertEqual((await self.client.ask()).status, 200)
+        self.register.set("s-1", self.node.port, health="draining")
+        await self.program.line("condition=leaving")
+        self.assertEqual((await self.client.ask(X_Deadline_Ms="600")).status, 503)
+        self.assertEqual(len(self.node.seen), 1)
+
+
+class NodeSide(unittest.IsolatedAsyncioTestCase):
+    """The nodes' side alone, where a test needs an attempt at a moment of its own choice."""
+
+    async def asyncSetUp(self) -> None:
+        self.node = await Server(serve_ok).start()
+        self.addresses: list[str | None] = []
+        self.clock = Clock(asyncio.get_running_loop())
+        self.nodes = HttpNodes(self, self.clock, 250_000, 500_000, Counters())  # type: ignore[arg-type]
+        self.addAsyncCleanup(self.nodes.close)
+
+    def address(self, _: str) -> str | None:
+        return self.addresses.pop(0) if self.addresses else f"127.0.0.1:{self.node.port}"
+
+    async def attempt(self) -> Outcome:
+        payload = Payload("GET", "/read/1/2", {}, b"")
+        request = Request(0, 1, self.clock.now_us() + 2_000_000, 2, 0, 0, 2.0, 1, payload)
+        return await self.nodes.attempt(Attempt(request, 0, "s-1"))
+
+    async def test_a_node_that_drains_during_the_connect_gets_no_byte(self) -> None:
+        """The drain rule counts from the first byte, and a connect takes its time."""
+        self.addresses = [f"127.0.0.1:{self.node.port}", None]
+        with self.assertRaises(WithheldError):
+            await self.attempt()
+        await self.node.until(lambda: self.node.opened == 1 and not self.node.open)
+        self.assertEqual(self.node.seen, [])
+
+    async def test_the_latest_used_is_reused_and_an_idle_one_is_not_used_again(self) -> None:
+        async def slow(server: Server, _: Message, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.5 if len(server.seen) == 4 else 0.01)  # the other one grows old meanwhile
+            reply(writer, X_Iops_Used="85", X_Rho="3")
+
+        self.node.script = slow
+        await asyncio.gather(self.attempt(), self.attempt())
+        for _ in range(2):
+            outcome = await self.attempt()
+        self.assertEqual((outcome.used, outcome.elsewhere), (86, 3.0))
+        self.assertEqual(self.node.seen[2].connection, self.node.seen[3].connection)
+        await asyncio.gather(self.attempt(), self.attempt())
+        self.assertEqual(self.node.opened, 3)
+
+    async def test_an_answer_that_breaks_off_is_a_reset(self) -> None:
+        async def half(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nhalf")
+            writer.close()
+
+        self.node.script = half
+        self.assertEqual((await self.attempt()).result, api.Result.RESET)
+
+
+class Connecting(PlatformCase):
+    async def test_a_connect_past_its_limit_never_ran(self) -> None:
+        with socket.socket() as deaf:  # its backlog is full, so a further connect gets no word
+            deaf.bind(("127.0.0.1", 0))
+            deaf.listen(0)
+            fill = [socket.socket() for _ in range(3)]
+            for one in fill:
+                one.setblocking(False)
+                one.connect_ex(deaf.getsockname())
+            self.register.set("s-2", deaf.getsockname()[1], shard=1)
+            await self.program.line("node=s-2")
+            self.assertEqual((await self.client.ask("new-write", shard=1, X_Deadline_Ms="800")).status, 503)
+            self.assertGreater((await self.program.counters())["attempts.unreached"], 0)
+            for one in fill:
+                one.close()
+
+
+class Watching(PlatformCase):
+    async def test_whole_list_then_a_watch_at_once_and_again_after_failures(self) -> None:
+        self.assertIn("GET /api/targets HTTP", self.discovery.seen[0].start)
+        await self.discovery.until(lambda: len(self.discovery.seen) == 2)
+        self.assertIn(f"after={self.register.seq}&wait_ms=", self.discovery.seen[1].start)
+        self.register.broken = [b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+                                b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n[]"]
+        self.register.set("s-1", self.node.port)
+        began = time.monotonic()
+        await self.discovery.until(lambda: len(self.discovery.seen) == 3)
+        self.assertLess(time.monotonic() - began, 0.2)  # later, it would be a new watch
+        await self.discovery.until(lambda: len(self.discovery.seen) == 6)
+        whole = ["after=" not in message.start for message in self.discovery.seen]
+        self.assertEqual(whole, [True, False, False, True, True, False])
+        self.assertEqual((await self.client.ask()).status, 200)
+
+    async def test_not_ready_without_a_list_and_ready_with_the_known_one(self) -> None:
+        self.discovery.listener.close()
+        await self.launch()
+        client = await self.connect(ready=False)
+        ready = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        self.assertEqual((await client.raw(ready)).status, 503)
+        await self.launch(known={"seq": 1, "whole": True, "hosts": list(self.register.rows.values())})
+        client = await self.connect()
+        self.assertEqual((await client.ask()).status, 200)
+
+
+class Stopping(PlatformCase):
+    async def test_sigterm_serves_the_tail_finishes_what_is_held_and_exits_0(self) -> None:
+        hold = asyncio.Event()
+
+        async def held(_: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+            if message.headers["x-request-id"].startswith("aaaa"):
+                await hold.wait()
+            reply(writer)
+
+        self.node.script = held
+        idle = await self.connect()
+        pending = asyncio.create_task(self.client.ask(X_Request_Id="aaaa000000000001"))
+        await self.node.until(lambda: bool(self.node.seen))
+        self.program.process.send_signal(signal.SIGTERM)
+        await self.program.line("event=stopping")
+        late = await Client(self.port).open()
+        answer = await late.ask()
+        self.assertEqual((answer.status, answer.headers["connection"]), (200, "close"))
+        async with asyncio.timeout(5):
+            self.assertEqual(await idle.reader.read(), b"")
+        with self.assertRaises(OSError):
+            await Client(self.port).open()
+        self.assertFalse(pending.done())
+        hold.set()
+        self.assertEqual((await pending).status, 200)
+        self.assertEqual(await self.program.end(signal.SIGCONT), 0)
+        self.assertIn("event=counters why=exit", "".join(self.program.lines))
+
+
+class Configuration(unittest.IsolatedAsyncioTestCase):
+    async def test_bad_configuration_is_one_plain_line_and_exit_2(self) -> None:
+        for command in ("serve", "check-config"):
+            for environment in ({}, {"ROUTER_CONFIG": "/nonexistent"}, {"ROUTER_CONFIG": __file__}):
+                program = await Program().start(command, **environment)
+                self.assertEqual(await program.end(signal.SIGCONT), 2)
+                self.assertTrue(program.lines[0].startswith("lemonridge: "))
+                self.assertEqual(program.lines[0].count("\n"), 1)
