Add the iSCSI front, its nodes' side, and the node list and contracts from etcd

A command is one core request: the target gathers its data, the broker carries it, the initiator side makes attempts over one session a node. etcd's JSON gateway is ranged once and watched from the next revision.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import logging
+import secrets
 import signal
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
+from typing import Protocol
 
 from lemonridge import api
 from lemonridge.config import Platform
@@ -14,6 +17,10 @@
 from lemonridge.core.decider import Decider
 from lemonridge.core.directory import Directory
 from lemonridge.counters import Counters
+from lemonridge.etcd import EtcdSource
+from lemonridge.iscsi.config import Iscsi
+from lemonridge.iscsi.initiator import IscsiNodes
+from lemonridge.iscsi.target import IscsiFront
 from lemonridge.net.discovery import Discovery, MalformedError, listings
 from lemonridge.net.http_front import HttpFront
 from lemonridge.net.http_nodes import HttpNodes
@@ -23,34 +30,99 @@
 IDLE_S = 0.005  # how often the end of the last request is looked for, once the program is to end
 
 
-async def serve_platform(platform: Platform) -> None:
-    """One broker of the platform, until SIGTERM or SIGINT."""
-    loop = asyncio.get_running_loop()
-    counters, clock = Counters(), Clock(loop)
-    decider = Decider(platform.settings, platform.seed, clock, counters)
-    directory = Directory(decider)
-    decider.relist = directory.entries
-    nodes = HttpNodes(directory, clock, platform.connect_us, platform.keepalive_us, counters)
-    front = HttpFront(platform, Broker(decider, nodes, counters), directory, clock, counters)
-    stop = asyncio.Event()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, counters.print, "SIGUSR1")
+class Front(Protocol):
+    """A front, as the program's end needs it."""
+
+    async def stop(self) -> None: ...
+
+    @property
+    def busy(self) -> bool: ...
+
+
+class Service:
+    """One front with the core and the nodes' side behind it."""
+
+    def __init__(self, name: str, settings: api.Settings, seed: int, counters: Counters) -> None:
+        self.name, self.counters, self.clock = name, counters, Clock(asyncio.get_running_loop())
+        self.decider = Decider(settings, seed, self.clock, self.counters)
+        self.directory = Directory(self.decider)
+        self.decider.relist = self.directory.entries
+        self.front: Front
+        self.close: Callable[[], Awaitable[None]]
+        self.watches: list[asyncio.Task[None]] = []
+
+    def watch(self, work: Coroutine[None, None, None]) -> None:
+        self.watches.append(asyncio.create_task(work))
+
+    def print_counters(self, why: str) -> None:
+        self.counters.print(why, self.name)
+
+    async def stop(self) -> None:
+        """Serve the tail, finish what is held, leave."""
+        log.info("stopping", extra={"front": self.name, "held": self.decider.held})
+        await self.front.stop()
+        while self.decider.held or self.front.busy:
+            await asyncio.sleep(IDLE_S)
+        for watch in self.watches:
+            watch.cancel()
+        await self.close()
+        self.print_counters("exit")
+
+
+async def platform_service(platform: Platform) -> Service:
+    """The platform's front: clients and nodes over HTTP/1.1, the node list from discovery."""
+    made = Service("http", platform.settings, platform.seed, Counters())
     if platform.known.get("hosts"):
         try:
-            directory.take(api.ListKind.STALE, listings(platform.known, platform.zones))
+            made.directory.take(api.ListKind.STALE, listings(platform.known, platform.zones))
         except MalformedError as error:
             log.warning("known list ignored", extra={"error": str(error)})
-    watch = Discovery(str(platform.discovery), platform.zones, directory, Random(platform.seed), counters)
-    watching = asyncio.create_task(watch.run())
-    try:
-        await front.start(platform.listen)
-        await stop.wait()
-        log.info("stopping", extra={"held": decider.held})
-        await front.stop()
-        while decider.held or front.busy:
-            await asyncio.sleep(IDLE_S)
-    finally:
-        watching.cancel()
-        await nodes.close()
-        counters.print("exit")
+    nodes = HttpNodes(made.directory, made.clock, platform.connect_us, platform.keepalive_us, made.counters)
+    made.close = nodes.close
+    watch = Discovery(str(platform.discovery), platform.zones, made.directory, Random(platform.seed),
+                      made.counters)  # fmt: skip
+    made.watch(watch.run())
+    broker = Broker(made.decider, nodes, made.counters)
+    made.front = front = HttpFront(platform, broker, made.directory, made.clock, made.counters)
+    await front.start(platform.listen)
+    return made
+
+
+async def iscsi_service(config: Iscsi) -> Service:
+    """The iSCSI front of an operator's file: initiators before it, targets behind it."""
+    counters, source = Counters(), None
+    if config.etcd is not None:
+        source = EtcdSource(config.etcd, Random(), counters)
+        config = await source.contracts(config)
+    made = Service("iscsi", config.settings, secrets.randbits(64), counters)
+    if source is not None:
+        made.watch(source.run(made.directory))
+    else:
+        made.directory.take(api.ListKind.WHOLE, list(config.nodes))
+    nodes = IscsiNodes(config, made.directory, made.clock, made.counters)
+    made.close = nodes.close
+    broker = Broker(made.decider, nodes, made.counters)
+    made.front = front = IscsiFront(config, broker, made.clock, made.counters)
+    await front.start(config.listen)
+    return made
+
+
+async def serve(platform: Platform | None, iscsi: Iscsi | None) -> None:
+    """Every front that is configured, until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, stop.set)
+    services = []
+    if platform is not None:
+        services.append(await platform_service(platform))
+    if iscsi is not None:
+        services.append(await iscsi_service(iscsi))
+
+    def print_counters() -> None:
+        for service in services:
+            service.print_counters("SIGUSR1")
+
+    loop.add_signal_handler(signal.SIGUSR1, print_counters)
+    await stop.wait()
+    await asyncio.gather(*(service.stop() for service in services))
--- a/lemonridge/core/directory.py
+++ b/lemonridge/core/directory.py
@@ -42,8 +42,10 @@
                 self._nodes.pop(listing.entry.node, None)
             else:
                 self._nodes[listing.entry.node] = listing
-            log.info("listed", extra={"node": listing.entry.node, "condition": listing.entry.condition.value,
-                                      "shard": listing.entry.shard, "started_us": listing.entry.started_us})
+            entry = listing.entry
+            log.info("listed", extra={
+                "node": entry.node, "condition": entry.condition.value, "shard": entry.shard,
+                "started_us": entry.started_us, "address": listing.address})  # fmt: skip
         self.listed = self.listed or bool(listings)
         self._sink.tell(api.Listed(kind, tuple(listing.entry for listing in listings)))
 
--- a/lemonridge/counters.py
+++ b/lemonridge/counters.py
@@ -11,6 +11,7 @@
 class Counters(Counter[str]):
     """Counts by dotted name; a name that was never counted is 0."""
 
-    def print(self, why: str) -> None:
+    def print(self, why: str, front: str) -> None:
         """One log line with every count."""
-        log.info("counters", extra={"why": why, **{name: self[name] for name in sorted(self)}})
+        counts = {name: self[name] for name in sorted(self)}
+        log.info("counters", extra={"why": why, "front": front, **counts})
--- /dev/null
+++ b/lemonridge/iscsi/initiator.py
@@ -0,0 +1,312 @@
+"""The nodes' side of the iSCSI front: one attempt at a node's target, one outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from dataclasses import dataclass, field
+
+from lemonridge import api
+from lemonridge.core.clock import Clock
+from lemonridge.core.directory import Directory
+from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
+from lemonridge.counters import Counters
+from lemonridge.iscsi import scsi
+from lemonridge.iscsi.config import Iscsi
+from lemonridge.iscsi.pdu import (
+    FINAL,
+    NONE,
+    PORTAL_MAX,
+    Op,
+    Pdu,
+    PduError,
+    later,
+    pack_lun,
+    pack_text,
+    read_pdu,
+    unpack_text,
+)  # fmt: skip
+
+log = logging.getLogger(__name__)
+
+RETIRE = 0.9  # of the time after which a node may end an idle session
+NEVER_RAN = frozenset((scsi.Status.BUSY, scsi.Status.TASK_SET_FULL))
+
+
+class LostError(Exception):
+    """The session ended under a command."""
+
+
+@dataclass(slots=True)
+class Flight:
+    """A command that a node has been sent."""
+
+    command: scsi.Command
+    done: asyncio.Future[scsi.Reply]
+    data: bytearray = field(default_factory=bytearray)
+
+
+class IscsiNodes:
+    """Makes attempts at the nodes' targets, over one session to each."""
+
+    def __init__(self, config: Iscsi, directory: Directory, clock: Clock, counters: Counters) -> None:
+        self._config, self._directory, self._clock, self._counters = config, directory, clock, counters
+        self._sessions: dict[str, asyncio.Task[NodeSession]] = {}
+
+    async def attempt(self, attempt: Attempt) -> Outcome:
+        """Send the command once and wait for its status."""
+        command = attempt.request.payload
+        assert isinstance(command, scsi.Command)
+        address = self._directory.address(attempt.node)
+        if address is None:
+            raise WithheldError
+        session = await self._session(address)
+        if self._directory.address(attempt.node) != address:  # the list changed during the login
+            raise WithheldError
+        if not session.has_room:
+            return Outcome(api.Result.FULL)
+        attempt.reached = True  # from here on it may have run: no await stands between this and the write
+        try:
+            reply = await session.execute(command)
+        except (LostError, ConnectionError):
+            return Outcome(api.Result.RESET)
+        if reply.status in NEVER_RAN:
+            return Outcome(api.Result.FULL)
+        if reply.status == scsi.Status.TASK_ABORTED:
+            return Outcome(api.Result.ERROR)
+        return Outcome(api.Result.OK, reply)
+
+    async def close(self) -> None:
+        """Log out of every session."""
+        for opening in self._sessions.values():
+            if opening.done() and not opening.cancelled() and opening.exception() is None:
+                opening.result().end()
+            opening.cancel()
+        self._sessions.clear()
+
+    async def _session(self, address: str) -> NodeSession:
+        """The session with a node; commands that come while it is being made wait for the same one."""
+        opening = self._sessions.get(address)
+        if opening is not None and opening.done() and not _usable(opening, self._config.keepalive_us):
+            opening = None
+        if opening is None:
+            self._counters["connections.opened"] += 1
+            for other in [name for name, task in self._sessions.items() if task.done()]:
+                if not _usable(self._sessions[other], self._config.keepalive_us):
+                    del self._sessions[other]
+            opening = self._sessions[address] = asyncio.create_task(self._open(address))
+        try:
+            return await asyncio.shield(opening)
+        except (OSError, EOFError, PduError):  # a connect that took too long is a TimeoutError, an OSError
+            raise UnreachedError from None
+
+    async def _open(self, address: str) -> NodeSession:
+        portal, _, target = address.partition("/")
+        host, _, port = portal.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout_at(loop.time() + self._config.connect_us / 1e6):
+            reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+            session = NodeSession(reader, writer)
+            try:
+                await session.login(self._config.initiator, target)
+            except BaseException:
+                writer.close()
+                raise
+        return session
+
+
+def _usable(opening: asyncio.Task[NodeSession], keepalive_us: int) -> bool:
+    if opening.cancelled() or opening.exception() is not None:
+        return False
+    session = opening.result()
+    if session.idle_s > keepalive_us * RETIRE / 1e6:
+        session.end()
+    return not session.over
+
+
+class NodeSession:
+    """One session with a node's target."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer = reader, writer
+        self._loop = asyncio.get_running_loop()
+        self._tags = itertools.count(1)
+        self._cmd_sn, self._max_cmd_sn, self._exp_stat_sn = 1, 1, 0
+        self._flights: dict[int, Flight] = {}
+        self._segment, self._burst, self._first_burst, self._immediate = 8192, 262144, 65536, True
+        self._heard, self._used = self._loop.time(), self._loop.time()
+        self._receiver: asyncio.Task[None] | None = None
+        self.over = False  # takes no new commands
+
+    @property
+    def has_room(self) -> bool:
+        """Whether the target's window takes another command."""
+        return later(self._max_cmd_sn, self._cmd_sn) >= 0
+
+    @property
+    def idle_s(self) -> float:
+        return 0.0 if self._flights else self._loop.time() - self._used
+
+    async def login(self, initiator: str, target: str) -> None:
+        """Straight into operational negotiation: no authentication, no digests."""
+        pairs = [("InitiatorName", initiator), ("TargetName", target), ("SessionType", "Normal"),
+                 ("HeaderDigest", "None"), ("DataDigest", "None"), ("ErrorRecoveryLevel", "0"),
+                 ("InitialR2T", "Yes"), ("ImmediateData", "Yes"), ("MaxBurstLength", "262144"),
+                 ("FirstBurstLength", "65536"), ("MaxRecvDataSegmentLength", str(PORTAL_MAX)),
+                 ("MaxConnections", "1"), ("MaxOutstandingR2T", "1")]  # fmt: skip
+        isid = b"\x80" + next(_isid).to_bytes(5, "big")
+        self._write(Pdu(Op.LOGIN, FINAL | 1 << 2 | 3, lun=isid + b"\0\0", tag=0, data=pack_text(pairs),
+                        immediate=True), number=True)  # fmt: skip
+        answer = await read_pdu(self._reader)
+        if answer.opcode != Op.LOGIN_RESPONSE or answer.words[4] >> 16 or answer.flags & 0x83 != FINAL | 3:
+            raise PduError(PduError.PROTOCOL, f"login refused with {answer.words[4] >> 16:#06x}", answer)
+        self._numbers(answer, status=True)
+        self._agree(unpack_text(answer.data))
+        self._receiver = asyncio.create_task(self._receive())
+
+    def _agree(self, told: dict[str, str]) -> None:
+        sizes = {key: int(value) for key, value in told.items() if value.isdigit()}
+        self._segment = max(512, sizes.get("MaxRecvDataSegmentLength", self._segment))
+        self._burst = max(512, sizes.get("MaxBurstLength", self._burst))
+        self._first_burst = sizes.get("FirstBurstLength", self._first_burst)
+        self._immediate = told.get("ImmediateData") != "No"
+
+    async def execute(self, command: scsi.Command) -> scsi.Reply:
+        """Send a command, with as much of its data as goes along; the target asks for the rest."""
+        tag, sent = next(self._tags) % NONE, self._loop.time()
+        flight = self._flights[tag] = Flight(command, self._loop.create_future())
+        data = command.data[: min(self._segment, self._first_burst)] if self._immediate else b""
+        flags = FINAL | (0x40 if command.reads else 0) | (0x20 if command.writes else 0) | 1  # simple task
+        cdb = [int.from_bytes(command.cdb[n : n + 4], "big") for n in range(0, 16, 4)]
+        self._write(Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(command.lun), tag=tag, data=data,
+                        words=[command.length, 0, 0, *cdb]), number=True)  # fmt: skip
+        try:
+            return await flight.done
+        except asyncio.CancelledError:
+            # Called off. Where nothing at all was heard since it was sent the session is lost too: it
+            # would swallow what comes after it.
+            if self._heard < sent:
+                self._fail("silent")
+            else:
+                self._write(Pdu(Op.TASK_MANAGEMENT, FINAL | 1, lun=pack_lun(command.lun),
+                                tag=next(self._tags) % NONE, immediate=True,
+                                words=[tag, 0, 0, self._cmd_sn, 0, 0, 0]), number=True)  # fmt: skip
+            raise
+        finally:
+            self._flights.pop(tag, None)
+            self._used = self._loop.time()
+            if self.over and not self._flights:
+                self.end()
+
+    def end(self) -> None:
+        """No new commands; log out once the last one has ended."""
+        self.over = True
+        if not self._flights and not self._writer.is_closing():
+            self._write(Pdu(Op.LOGOUT, FINAL, tag=next(self._tags) % NONE, immediate=True), number=True)
+            self._writer.close()  # what is written still goes out
+
+    def _fail(self, why: str) -> None:
+        """The session is over, now: every command in flight may have run."""
+        self.over = True
+        for flight in self._flights.values():
+            if not flight.done.done():
+                flight.done.set_exception(LostError(why))
+        self._writer.transport.abort()  # a peer that takes nothing must not hold what was written to it
+        if self._receiver is not None and self._receiver is not asyncio.current_task():
+            self._receiver.cancel()
+
+    def _write(self, pdu: Pdu, number: bool = False) -> None:
+        if number:
+            pdu.words[1], pdu.words[2] = self._cmd_sn, self._exp_stat_sn
+            if not pdu.immediate:
+                self._cmd_sn = (self._cmd_sn + 1) & NONE
+        else:
+            pdu.words[2] = self._exp_stat_sn
+        if not self._writer.is_closing():
+            self._writer.write(pdu.encode())
+
+    def _numbers(self, pdu: Pdu, status: bool) -> None:
+        if status:
+            self._exp_stat_sn = (pdu.words[1] + 1) & NONE
+        if later(pdu.words[3], self._max_cmd_sn) > 0 or not self._flights:
+            self._max_cmd_sn = pdu.words[3]
+
+    async def _receive(self) -> None:
+        """Take what the target says until the session ends."""
+        why = "the target closed the connection"
+        try:
+            while True:
+                pdu = await read_pdu(self._reader, PORTAL_MAX)
+                self._heard = self._loop.time()
+                self._take(pdu)
+        except (OSError, EOFError):
+            pass
+        except PduError as error:
+            why = str(error)
+            log.warning("node broke the protocol", extra={"error": why})
+        except asyncio.CancelledError:
+            return
+        self._fail(why)
+
+    def _take(self, pdu: Pdu) -> None:
+        flight = self._flights.get(pdu.tag)
+        if pdu.opcode == Op.SCSI_RESPONSE:
+            self._numbers(pdu, status=True)
+            if flight is not None:
+                self._respond(flight, pdu)
+        elif pdu.opcode == Op.DATA_IN:
+            self._numbers(pdu, status=bool(pdu.flags & 1))
+            if flight is not None:
+                self._data_in(flight, pdu)
+        elif pdu.opcode == Op.R2T:
+            self._numbers(pdu, status=False)
+            if flight is not None:
+                self._data_out(flight, pdu)
+        elif pdu.opcode == Op.NOP_IN:
+            self._numbers(pdu, status=pdu.tag != NONE)
+            if pdu.words[0] != NONE:  # a ping
+                self._write(Pdu(Op.NOP_OUT, lun=pdu.lun, immediate=True, words=[pdu.words[0]] + [0] * 6,
+                                data=pdu.data), number=True)  # fmt: skip
+        elif pdu.opcode in (Op.TASK_MANAGEMENT_RESPONSE, Op.LOGOUT_RESPONSE):
+            self._numbers(pdu, status=True)
+        elif pdu.opcode == Op.ASYNC:
+            self._numbers(pdu, status=True)
+            if pdu.words[4] >> 24 in (1, 2, 3):  # asks for a logout, or drops the connection or all
+                self.over = True
+                if not self._flights:
+                    self.end()
+        else:
+            raise PduError(PduError.PROTOCOL, f"opcode {pdu.opcode:#04x}", pdu)
+
+    def _respond(self, flight: Flight, pdu: Pdu) -> None:
+        if flight.done.done():
+            return
+        if pdu.byte2 != 0:  # the target failed to carry it out, or not
+            flight.done.set_result(scsi.Reply(scsi.Status.TASK_ABORTED))
+            return
+        residual = pdu.words[6] if pdu.flags & 0x02 else -pdu.words[6] if pdu.flags & 0x04 else 0
+        sense = pdu.data[2 : 2 + int.from_bytes(pdu.data[:2], "big")]
+        flight.done.set_result(scsi.Reply(pdu.byte3, bytes(flight.data), sense, residual))
+
+    def _data_in(self, flight: Flight, pdu: Pdu) -> None:
+        if pdu.words[5] != len(flight.data) or len(flight.data) + len(pdu.data) > flight.command.length:
+            raise PduError(PduError.PROTOCOL, "data out of place", pdu)
+        flight.data += pdu.data
+        if pdu.flags & 1 and not flight.done.done():
+            residual = pdu.words[6] if pdu.flags & 0x02 else -pdu.words[6] if pdu.flags & 0x04 else 0
+            flight.done.set_result(scsi.Reply(pdu.byte3, bytes(flight.data), b"", residual))
+
+    def _data_out(self, flight: Flight, pdu: Pdu) -> None:
+        """What the target asks for, in PDUs that it takes."""
+        start, end = pdu.words[5], pdu.words[5] + pdu.words[6]
+        if not start < end <= len(flight.command.data) or end - start > self._burst:
+            raise PduError(PduError.PROTOCOL, "asks for data that there is not", pdu)
+        for count, offset in enumerate(range(start, end, self._segment)):
+            until = min(offset + self._segment, end)
+            self._write(Pdu(Op.DATA_OUT, FINAL if until == end else 0, lun=pdu.lun, tag=pdu.tag,
+                            data=flight.command.data[offset:until],
+                            words=[pdu.words[0], 0, 0, 0, count, offset, 0]))  # fmt: skip
+
+
+_isid = itertools.count(1)
--- /dev/null
+++ b/tests/test_etcd.py
@@ -0,0 +1,65 @@
+"""The node list and the contracts from etcd, against a stand-in of its JSON gateway."""
+
+from __future__ import annotations
+
+import asyncio
+
+from harness import IscsiCase, Target
+
+
+class Following(IscsiCase):
+    async def served_by(self, target: Target) -> None:
+        """The next read goes to `target`."""
+        session = await self.session()
+        before = len(target.begun)
+        self.assertEqual((await session.read(before, 512))[0], 0)
+        self.assertEqual(len(target.begun), before + 1)
+
+    async def test_range_then_watch_from_the_next_revision(self) -> None:
+        paths = [message.start.split()[1] for message in self.etcd.seen]
+        self.assertEqual(paths, ["/v3/kv/range", "/v3/kv/range", "/v3/watch"])
+        self.assertIn(f'"start_revision":"{self.etcd.revision + 1}"'.encode(), self.etcd.seen[-1].body)
+        await self.served_by(self.target)
+        other = await Target().start()
+        self.etcd.put("/lr/nodes/n1", other.row(0))
+        await self.program.line(f":{other.port}/")
+        await self.served_by(other)
+        self.etcd.delete("/lr/nodes/n1")
+        await self.program.line("condition=left")
+        self.assertEqual((await (await self.session()).read(1, 512))[0], 0x08)
+
+    async def test_a_broken_watch_goes_on_where_it_was(self) -> None:
+        self.etcd.cut()
+        other = await Target().start()
+        self.etcd.put("/lr/nodes/n1", other.row(0))
+        await self.program.line(f":{other.port}/")
+        await self.served_by(other)
+        self.assertNotIn("range", self.etcd.seen[-1].start)
+
+    async def test_after_a_compaction_the_range_is_read_again(self) -> None:
+        self.etcd.cut()
+        other = await Target().start()
+        self.etcd.put("/lr/nodes/n1", other.row(0))
+        self.etcd.compact()
+        await self.program.line("compacted")
+        await self.program.line(f":{other.port}/")
+        await self.served_by(other)
+        await self.etcd.until(lambda: "watch" in self.etcd.seen[-1].start)
+        self.assertIn("range", self.etcd.seen[-2].start)
+
+    async def test_what_cannot_be_read_changes_nothing(self) -> None:
+        for value in ([], {"address": "nowhere"}, {**self.target.row(0), "odd": 1}, "x"):
+            self.etcd.put("/lr/nodes/n1", value)
+            await self.program.line("key ignored")
+        await self.served_by(self.target)
+
+
+class Contracts(IscsiCase):
+    changes = {'plan = "standard"\nshard = 0': 'plan = "basic"\nshard = 0'}
+
+
+    async def test_the_limit_of_a_plan_comes_from_etcd(self) -> None:
+        """The file's limit of 120 units a second would refuse most of these; etcd's plan has none."""
+        session = await self.session()
+        answers = await asyncio.gather(*(session.read(n, 1 << 17) for n in range(32)))
+        self.assertEqual({status for status, _, _ in answers}, {0})
--- /dev/null
+++ b/tests/test_iscsi.py
@@ -0,0 +1,250 @@
+"""The iSCSI front as a process, between initiators and targets."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import struct
+from random import Random
+
+from harness import Initiator, IscsiCase, Target, cdb
+
+from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu, pack_text, unpack_text
+
+DATA = bytes(range(256)) * 160  # 40 KiB: immediate data, and several bursts and PDUs
+
+
+class Carrying(IscsiCase):
+    async def test_a_write_and_a_read_in_many_pdus(self) -> None:
+        session = await self.session()
+        self.assertEqual((await session.write(7, DATA))[0], 0)
+        self.assertEqual(self.target.blocks[7], DATA)
+        self.assertEqual((await session.read(7, len(DATA)))[:2], (0, DATA))
+
+    async def test_pipelined_commands_each_get_one_answer(self) -> None:
+        session = await self.session()
+        tags = [session.command(cdb(0x28, block, 512), read=512) for block in range(20)]
+        answers = await asyncio.gather(*(session.answer(tag) for tag in tags))
+        self.assertEqual({status for status, _, _ in answers}, {0})
+        self.assertEqual(session.answers, {tag: 1 for tag in tags})
+
+    async def test_pdus_split_at_every_byte(self) -> None:
+        session = await Initiator(self.port).open()
+        await session.login()
+        words = struct.unpack(">4I", cdb(0x28, 3, 512).ljust(16, b"\0"))
+        read = Pdu(Op.SCSI_COMMAND, FINAL | 0x40, tag=1, words=[512, 0, 0, *words])
+        text = read.encode() + Pdu(Op.NOP_OUT, tag=2, words=[NONE, 1, 0, 0, 0, 0, 0], data=b"ping!").encode()
+        session.receiver = asyncio.create_task(session._receive())
+        session.waiting[1] = (asyncio.get_running_loop().create_future(), bytearray(), b"")
+        for at in range(len(text)):
+            session.writer.write(text[at : at + 1])
+            await session.writer.drain()
+            await asyncio.sleep(0)
+        self.assertEqual((await session.answer(1))[0], 0)
+        self.assertEqual((await session.other.get()).data, b"ping!")
+
+    async def test_what_the_front_answers_itself(self) -> None:
+        session = await self.session()
+        status, data, _ = await session.answer(session.command(b"\xa0" + bytes(5) + b"\0\0\1\0", read=256))
+        self.assertEqual((status, data), (0, b"\0\0\0\x10" + bytes(4) + bytes(8) + b"\0\1" + bytes(6)))
+        absent = await session.answer(session.command(b"\x12\0\0\0\x24", read=36, lun=9))
+        self.assertEqual(absent[1][:1], b"\x7f")
+        for bytes_, lun, read, sense in ((b"\x28", 9, 512, b"\x05\x25"), (b"\xff", 0, 0, b"\x05\x20"),
+                                      (b"\x28", 0, 1 << 20, b"\x05\x24")):
+            status, _, told = await session.answer(session.command(bytes_, read=read, lun=lun))
+            self.assertEqual((status, told[2:3] + told[12:13]), (2, sense))
+        self.assertEqual(self.target.begun, [])
+
+    async def test_refused_is_busy_and_failed_is_check_condition(self) -> None:
+        session = await self.session()
+        self.target.status = 0x08
+        self.assertEqual((await session.write(1, DATA))[0], 0x08)
+        self.target.status, self.target.delay = 0, 9.0
+        status, _, sense = await session.write(2, DATA)
+        self.assertEqual((status, sense[2:3] + sense[12:13]), (2, b"\x04\x08"))
+        self.assertEqual([block for _, block, _ in self.target.begun], [2])
+
+    async def test_a_target_that_vanishes_with_commands_in_flight(self) -> None:
+        """A write that may have run is never sent again; a read is."""
+        session = await self.session()
+        self.target.delay = 9.0
+        write = session.command(cdb(0x2A, 5, 512), data=bytes(512))
+        read = session.command(cdb(0x28, 6, 512), read=512)
+        while len(self.target.begun) < 2:
+            await asyncio.sleep(0)
+        after = await Target().start()
+        self.target.kill()
+        self.etcd.put("/lr/nodes/n1", after.row(0))
+        self.assertEqual((await session.answer(write))[0], 2)
+        self.assertEqual((await session.answer(read))[0], 0)
+        self.assertEqual([block for _, block, _ in after.begun], [6])
+
+    async def test_aborts(self) -> None:
+        session = await self.session()
+        self.target.delay = 0.2
+        tag = session.command(cdb(0x28, 5, 512), read=512)
+        for function, reference, lun, response in ((1, tag, 0, 0), (1, 999, 0, 1), (5, 0, 9, 2), (8, 0, 0, 4),
+                                                   (5, 0, 0, 0), (9, 0, 0, 5)):
+            session.send(Pdu(Op.TASK_MANAGEMENT, FINAL | function, lun=struct.pack(">H6x", lun), tag=5000,
+                             immediate=True, words=[reference, 0, 0, 0, 0, 0, 0]))
+            answer = await session.other.get()
+            self.assertEqual((answer.opcode, answer.byte2), (Op.TASK_MANAGEMENT_RESPONSE, response))
+        self.target.delay = 0.0
+        self.assertEqual((await session.read(6, 512))[0], 0)
+        self.assertNotIn(tag, session.answers)
+
+    async def test_beyond_the_bound_on_buffers_is_task_set_full(self) -> None:
+        self.target.delay = 9.0
+        sessions = [await self.session() for _ in range(7)]
+        tags = [(one, one.command(cdb(0x28, n, 1 << 18), read=1 << 18))
+                for one in sessions for n in range(30)]
+        done = await asyncio.wait_for(asyncio.gather(*(one.answer(tag) for one, tag in tags[192:])), 5)
+        self.assertEqual({status for status, _, _ in done}, {0x28})
+
+    async def test_discovery_session_text_and_logout(self) -> None:
+        session = await Initiator(self.port).open()
+        await session.login(SessionType="Discovery", TargetName=None)
+        session.receiver = asyncio.create_task(session._receive())
+        session.send(Pdu(Op.TEXT, tag=4, data=pack_text([("SendTargets", "All"), ("X-odd", "1")]),
+                         words=[NONE, 0, 0, 0, 0, 0, 0]))
+        told = unpack_text((await session.other.get()).data)
+        self.assertEqual(told, {"TargetName": "iqn.2026-12.org.lemonridge:store",
+                                "TargetAddress": f"127.0.0.1:{self.port},1", "X-odd": "NotUnderstood"})
+        session.send(Pdu(Op.LOGOUT, FINAL | 2, tag=5))
+        self.assertEqual((await session.other.get()).byte2, 2)
+        session.send(Pdu(Op.LOGOUT, FINAL, tag=6))
+        self.assertEqual((await session.other.get()).byte2, 0)
+        self.assertEqual((await session.other.get()).opcode, Op.ASYNC)  # the end of the connection
+
+    async def test_logins_that_are_refused(self) -> None:
+        full = FINAL | 1 << 2 | 3
+        for flags, keys, status in (
+            (full, {"InitiatorName": None}, 0x0207), (full, {"TargetName": None}, 0x0207),
+            (full, {"TargetName": "iqn.2026-12.org.lemonridge:other"}, 0x0203),
+            (full, {"SessionType": "Odd"}, 0x0209), (FINAL | 1, {"AuthMethod": "CHAP"}, 0x0201),
+            (FINAL | 2 << 2 | 3, {}, 0x020B), (FINAL | 1 << 2 | 1, {}, 0x020B),
+        ):
+            with self.subTest(status=hex(status), keys=keys):
+                session = await Initiator(self.port).open()
+                self.assertEqual((await session.login(flags, **keys)).words[4] >> 16, status)
+                self.assertEqual(await session.reader.read(), b"")
+        session = await Initiator(self.port).open()
+        first = await session.login(FINAL | 1, AuthMethod="CHAP,None")
+        self.assertEqual((first.words[4], unpack_text(first.data)["AuthMethod"]), (0, "None"))
+        agreed = unpack_text((await session.login(HeaderDigest="CRC32C,None", MaxConnections="8", X="1",
+                                                  MaxBurstLength="4096", FirstBurstLength="1")).data)
+        self.assertEqual([agreed[key] for key in ("HeaderDigest", "MaxConnections", "X", "MaxBurstLength")],
+                         ["None", "1", "NotUnderstood", "4096"])
+        self.assertEqual(agreed["FirstBurstLength"], "Reject")
+
+    async def test_malformed_pdus_are_rejected_and_end_the_session(self) -> None:
+        for pdu, reason in (
+            (Pdu(0x1E, tag=1), 0x05), (Pdu(0x10, tag=1), 0x05), (Pdu(Op.SCSI_COMMAND, tag=NONE), 0x09),
+            (Pdu(Op.SCSI_COMMAND, 0x20, tag=1), 0x04),
+            (Pdu(Op.SCSI_COMMAND, FINAL | 0x40, tag=1, data=b"x"), 0x04),
+            (Pdu(Op.TEXT, tag=1, data=b"no value\0"), 0x04),
+        ):
+            with self.subTest(pdu=pdu):
+                session = await self.session()
+                session.send(pdu)
+                answer = await session.other.get()
+                self.assertEqual((answer.opcode, answer.byte2), (Op.REJECT, reason))
+                self.assertEqual((await session.other.get()).opcode, Op.ASYNC)
+        session = await self.session()
+        session.writer.write(struct.pack(">BBBBI", 0, 0x80, 0, 0, 0xFFFFFF) + bytes(40))
+        self.assertEqual((await session.other.get()).byte2, 0x04)
+
+    async def test_the_bytes_of_a_response_are_the_rfcs(self) -> None:
+        session = await Initiator(self.port).open()
+        await session.login()
+        session.writer.write(bytes.fromhex(
+            "01c00000 00000000 0000000000000000 00000009 00000200 00000000 00000002"
+            "28000000 00030000 01000000 00000000"))
+        self.assertEqual((await session.reader.readexactly(48)).hex(" ", 4), (
+            "21820000 00000000 00000000 00000000 00000009 00000000 00000002 00000001"
+            " 00000020 00000000 00000000 00000200"))
+
+    async def test_sigterm_asks_for_logout_and_finishes_what_is_held(self) -> None:
+        session = await self.session()
+        self.target.delay = 0.9
+        tag = session.command(cdb(0x28, 5, 512), read=512)
+        while not self.target.begun:
+            await asyncio.sleep(0)
+        self.program.process.send_signal(signal.SIGTERM)
+        told = await session.other.get()
+        self.assertEqual((told.opcode, told.words[4] >> 24), (Op.ASYNC, 1))
+        self.assertEqual((await session.answer(tag))[0], 0)
+        self.assertEqual(await self.program.end(signal.SIGCONT), 0)
+
+
+class Draining(IscsiCase):
+    async def test_nothing_new_goes_to_a_draining_target(self) -> None:
+        session = await self.session()
+        self.assertEqual((await session.read(1, 512))[0], 0)
+        self.etcd.put("/lr/nodes/n1", self.target.row(0, "draining"))
+        await self.program.line("condition=leaving")
+        self.assertEqual((await session.read(2, 512))[0], 0x08)
+        self.assertEqual([block for _, block, _ in self.target.begun], [1])
+
+
+RUNS, LANES = 1000, 4
+
+
+class Killed(IscsiCase):
+    """A stand-in target that is killed, falls silent or drains at random moments."""
+
+    changes = {"deadline_ms = 2500": "deadline_ms = 300", "deadline_ms = 2000": "deadline_ms = 300",
+               "aim_ms = 300": "aim_ms = 100", "aim_ms = 400": "aim_ms = 100",
+               "cold_units = 8 ": "cold_units = 100000 ", 'plan = "basic"': 'plan = "standard"',
+               "shard = 1\n": "shard = 1\n" + "".join(
+                   f'\n[[lun]]\nlun = {lun}\nplan = "standard"\nshard = {lun}\n' for lun in (2, 3))}
+
+    async def test_every_rule_holds_over_a_thousand_runs(self) -> None:
+        self.etcd.delete("/lr/nodes/n1")
+        session = await self.session()
+        ends: dict[int, int] = {}
+        await asyncio.gather(*(self.lane(session, lane, ends) for lane in range(LANES)))
+        self.assertEqual(set(session.answers.values()), {1})
+        self.assertEqual(len(session.answers), sum(ends.values()))
+        # The runs must have met what they are for: commands served, refused and failed.
+        for status in (0x00, 0x08, 0x02):
+            self.assertGreater(ends.get(status, 0), 50, ends)
+
+    async def lane(self, session: Initiator, lane: int, ends: dict[int, int]) -> None:
+        """Each run has a target of its own on the lane's shard, and what it served is checked after it."""
+        name = f"/lr/nodes/lane{lane}"
+        for run in range(lane, RUNS, LANES):
+            random = Random(run)
+            target = await Target(f"n{run}").start()
+            target.delay = random.uniform(0, 0.004)
+            self.etcd.put(name, target.row(lane))
+            blocks = range(run * 10, run * 10 + random.randint(2, 5))
+            writes = {block: random.random() < 0.6 for block in blocks}
+            tags = {
+                block: session.command(cdb(0x2A, block, len(DATA)), data=DATA, lun=lane) if writes[block]
+                else session.command(cdb(0x28, block, 512), read=512, lun=lane) for block in blocks
+            }  # fmt: skip
+            await asyncio.sleep(random.uniform(0, 0.02))  # the random moment
+            fate, drained = random.random(), 0.0
+            if fate < 0.6:
+                target.kill()
+                self.etcd.delete(name)
+            elif fate < 0.63:
+                target.silent = True
+            elif fate < 0.9:
+                self.etcd.put(name, target.row(lane, "draining"))
+                drained = asyncio.get_running_loop().time()
+            answers = {block: (await session.answer(tag))[0] for block, tag in tags.items()}
+            for block, status in answers.items():
+                ends[status] = ends.get(status, 0) + 1
+                begun = [at for at, other, _ in target.begun if other == block]
+                if writes[block]:
+                    self.assertLessEqual(len(begun), 1, (run, block))  # once, or never
+                    if status == 0x08:
+                        self.assertEqual(begun, [], (run, block))  # a refusal promises that it never ran
+                    if status == 0:
+                        self.assertEqual(target.blocks[block], DATA, (run, block))
+                if drained:
+                    self.assertLess(max(begun, default=0.0), drained + 0.5, (run, block))
+            self.assertLessEqual(target.most, 1, run)  # never two attempts of a command at once
+            target.kill()
