Write the log from its own thread; bound client connections and the wait for a body

Lines at fault: logs.py wrote from the event loop; http_front.py kept every client connection and awaited a body without an end.

Changed: a bounded queue and a thread write the log, and drop lines that no one takes; past half of the sockets each answer ends its connection; a body that does not come by the deadline gets 408.

The core now has tests of its own: one batch a turn, an answer at once with an attempt out, the evidence for each outcome, Gone, and a fault in the decisions.

--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -21,13 +21,15 @@
 
 def _serve(options: argparse.Namespace) -> int:
     platform, operators = _load(options)
-    logs.set_up(options.log_level)
+    writer = logs.set_up(options.log_level)
     from lemonridge.app import serve  # only `serve` pays for loading the network's parts
 
     try:
         asyncio.run(serve(platform, operators))
     except OSError as error:
         raise config.ConfigError(f"cannot listen: {error.strerror or error}") from None
+    finally:
+        writer.finish()
     return 0
 
 
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 MARGIN_US = 10_000  # before the client gives up: the way of the request here and of the answer back
+CROWDED = 0.5  # of the sockets: with more clients than that, each answer ends its connection
 TAIL_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 HEX = re.compile(r"[0-9a-f]{16}", re.I)
 PLACEMENT = re.compile(r"units=(\d+(?:\.\d+)?),shard=(-1|\d+),hosts=(\d+)")
@@ -88,7 +89,7 @@
                 except BadRequestError as error:
                     self._counters["requests.bad"] += 1
                     response = web.Response(status=error.status, text=error.text + "\n")
-            if self._stopping:
+            if self._stopping or self._crowded():
                 response.force_close()
             await response.prepare(http)
             await response.write_eof()
@@ -96,6 +97,14 @@
         finally:
             self._busy.discard(http.protocol)
 
+    def _crowded(self) -> bool:
+        """Whether clients hold so many connections that the limit on sockets comes near.
+
+        Guards against a surge: clients open a connection for each request that waits and keep it, and
+        past the limit none would be accepted, nor any made to a node.
+        """
+        return self._server is not None and len(self._server.connections) > self._platform.sockets * CROWDED
+
     def _ready(self, http: web.BaseRequest) -> web.Response:
         if http.method != "GET" or http.path != "/-/ready":
             return web.Response(status=404)
@@ -130,16 +139,20 @@
         units, shard, hosts = float(placement[1]), int(placement[2]), int(placement[3])
         if units <= 0 or hosts < 1:
             raise BadRequestError(400, "X-Placement must name some units and hosts")
+        deadline_us = arrived_us + int(deadline_ms) * 1000 - MARGIN_US
         try:
-            body = await http.read()
+            async with asyncio.timeout_at(self._clock.loop_time(deadline_us)):
+                body = await http.read()
         except web.HTTPRequestEntityTooLarge:
             raise BadRequestError(413, "a body holds 64 KiB at most") from None
+        except TimeoutError:
+            raise BadRequestError(408, "the body did not come within the deadline") from None
         if body and http.method == "GET":
             raise BadRequestError(400, "a read has no body")
         return Request(
             shard=shard,
             volume=int(parts[2], 16),
-            deadline_us=arrived_us + int(deadline_ms) * 1000 - MARGIN_US,
+            deadline_us=deadline_us,
             key=int(parts[3], 16),
             cls=cls,
             plan=plan,
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -249,6 +249,7 @@
     """One program, its discovery and one node."""
 
     facts: dict[str, Any] = {}
+    sockets = 1024
 
     async def asyncSetUp(self) -> None:
         self.register = Register()
@@ -267,8 +268,10 @@
         config = Path(folder.name) / "config.json"
         config.write_text(json.dumps({
             "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
-            "seed": "8c1f30d27a5be964", "known": known or {}, "settings": facts}))
-        self.program = await Program().start("serve", ROUTER_CONFIG=str(config))
+            "seed": "8c1f30d27a5be964", "known": known or {}, "settings": facts,
+            "limits": {"sockets": self.sockets}}))
+        self.config = str(config)
+        self.program = await Program().start("serve", ROUTER_CONFIG=self.config)
         self.addAsyncCleanup(self.program.end, signal.SIGKILL)
         self.port = int((await self.program.line("event=listening")).rsplit(":", 1)[1])
 
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,150 @@
+"""One request's life, with decisions and nodes that the test makes itself; no wire."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from conftest import SETTINGS
+
+from lemonridge import api
+from lemonridge.core.broker import Broker
+from lemonridge.core.clock import Clock
+from lemonridge.core.decider import Decider
+from lemonridge.core.model import Attempt, Kind, Outcome, Request
+from lemonridge.counters import Counters
+
+
+class Scripted:
+    """Stands in for the scheduler: records every batch, answers with what the test wants."""
+
+    def __init__(self) -> None:
+        self.batches: list[list[api.Event]] = []
+        self.react: Callable[[api.Event], list[api.Action]] = lambda event: []
+
+    def handle(self, _: int, events: list[api.Event]) -> list[api.Action]:
+        self.batches.append(events)
+        return [action for event in events for action in self.react(event)]
+
+    def of(self, kind: type) -> list[api.Event]:
+        return [event for batch in self.batches for event in batch if isinstance(event, kind)]
+
+
+class Life(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.counters = Counters()
+        self.decider = Decider(replace(SETTINGS), 1, Clock(asyncio.get_running_loop()), self.counters)
+        self.policy = Scripted()
+        self.decider._scheduler = self.policy  # type: ignore[assignment]
+        self.behave: Callable[[Attempt], Awaitable[Outcome]]
+        self.broker = Broker(self.decider, self, self.counters)  # type: ignore[arg-type]
+        self.policy.react = lambda event: (
+            [api.Send(event.request, "a")] if isinstance(event, api.Arrived) else [])
+
+    async def attempt(self, attempt: Attempt) -> Outcome:
+        return await self.behave(attempt)
+
+    def request(self, left_us: int = 2_000_000) -> Request:
+        return Request(0, 1, self.decider.clock.now_us() + left_us, 2, 0, 0, 1.0, 1, None)
+
+    async def quiet(self) -> None:
+        while self.decider.held:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    async def test_events_of_one_turn_go_together(self) -> None:
+        self.policy.react = lambda event: (
+            [api.Refuse(event.request, 7)] if isinstance(event, api.Arrived) else [])
+        answers = await asyncio.gather(*(self.broker.serve(self.request()) for _ in range(5)))
+        self.assertEqual({(one.kind, one.backoff_us) for one in answers}, {(Kind.REFUSED, 7)})
+        self.assertEqual(len(self.policy.batches[0]), 5)
+
+    async def test_an_answer_leaves_at_once_while_an_attempt_is_out(self) -> None:
+        hold = asyncio.Event()
+
+        async def held(attempt: Attempt) -> Outcome:
+            attempt.reached = True
+            self.decider.tell(api.Woke())  # upon which the module gives up
+            await hold.wait()
+            return Outcome(api.Result.OK, b"late")
+
+        self.behave = held
+        sent = self.policy.react
+        self.policy.react = lambda event: [api.Fail("r1")] if isinstance(event, api.Woke) else sent(event)
+        self.assertEqual((await self.broker.serve(self.request())).kind, Kind.FAILED)
+        self.assertEqual(self.policy.of(api.Ended), [])
+        hold.set()
+        await self.quiet()
+        ended = self.policy.of(api.Ended)
+        self.assertEqual([(one.result, one.finished) for one in ended], [(api.Result.OK, True)])
+
+    async def test_each_end_of_an_attempt_by_evidence(self) -> None:
+        case: dict[str, bool] = {}
+
+        async def hang(attempt: Attempt) -> Outcome:
+            attempt.reached = case["reaches"]
+            if case["cancels"]:
+                self.decider.tell(api.Woke())
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        async def broken(attempt: Attempt) -> Outcome:
+            attempt.reached = case["reaches"]
+            raise RuntimeError("a fault in the nodes' side")
+
+        sent = self.policy.react
+        for behave, reaches, cancels, result in (
+            (hang, True, False, api.Result.TIMEOUT), (hang, False, False, api.Result.UNREACHED),
+            (hang, True, True, api.Result.CANCELLED), (hang, False, True, api.Result.MOOT),
+            (broken, True, False, api.Result.RESET), (broken, False, False, api.Result.UNREACHED),
+        ):  # fmt: skip
+            with self.subTest(result=result, behave=behave.__name__):
+                self.behave, name = behave, f"r{self.decider._taken + 1}"
+                case.update(reaches=reaches, cancels=cancels)
+
+                def react(event: api.Event, name: str = name) -> list[api.Action]:
+                    if isinstance(event, api.Ended):
+                        return [api.Fail(event.request)]
+                    return [api.Cancel(name, 0)] if isinstance(event, api.Woke) else sent(event)
+
+                self.policy.react = react
+                self.assertEqual((await self.broker.serve(self.request(30_000))).kind, Kind.FAILED)
+                await self.quiet()
+                ends = [one.result for one in self.policy.of(api.Ended) if one.request == name]
+                self.assertEqual(ends, [result])
+
+    async def test_client_gone_tells_it_once_and_the_attempt_ends_once(self) -> None:
+        hold = asyncio.Event()
+
+        async def held(attempt: Attempt) -> Outcome:
+            attempt.reached = True
+            await hold.wait()
+            return Outcome(api.Result.OK)
+
+        self.behave = held
+        serving = asyncio.create_task(self.broker.serve(self.request()))
+        while not self.policy.of(api.Arrived):
+            await asyncio.sleep(0)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        hold.set()
+        await self.quiet()
+        self.assertEqual((len(self.policy.of(api.Gone)), len(self.policy.of(api.Ended))), (1, 1))
+
+    async def test_an_exception_in_the_decisions_answers_all_and_starts_over(self) -> None:
+        def broken(_: api.Event) -> list[api.Action]:
+            raise KeyError("a fault in the decisions")
+
+        async def ok(attempt: Attempt) -> Outcome:
+            return Outcome(api.Result.OK, b"x")
+
+        self.behave = ok
+        self.decider.relist = lambda: (api.Entry("a", 0, 0, api.Condition.ACTIVE, 0),)
+        self.policy.react = broken
+        answers = await asyncio.gather(*(self.broker.serve(self.request()) for _ in range(3)))
+        self.assertEqual({one.kind for one in answers}, {Kind.FAILED})
+        # The real module is in its place now, with the list.
+        self.assertEqual((await self.broker.serve(self.request())).kind, Kind.SERVED)
+        self.assertEqual(self.counters["decisions.failed"], 1)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,12 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import socket
+import sys
 import time
 import unittest
 
-from harness import Client, Message, PlatformCase, Program, Server, reply, reset, serve_ok
+from harness import (
+    PATIENCE_S,
+    ROOT,
+    Client,
+    Message,
+    PlatformCase,
+    Program,
+    Server,
+    free_port,
+    reply,
+    reset,
+    serve_ok,
+)  # fmt: skip
 
 from lemonridge import api
 from lemonridge.core.clock import Clock
@@ -199,6 +213,48 @@
                 one.close()
 
 
+class Bounds(PlatformCase):
+    sockets = 40
+
+    async def test_past_half_of_the_sockets_each_answer_ends_its_connection(self) -> None:
+        """Clients keep what they open in a surge; past the limit the broker could reach no node."""
+        clients = [await self.connect(ready=False) for _ in range(25)]
+        answers = [(await client.ask()).headers.get("connection") for client in clients]
+        self.assertEqual(answers[:5], ["close"] * 5)
+        self.assertEqual(set(answers[-18:]), {None})  # by then few enough are left
+        self.assertEqual((await self.client.ask()).status, 200)
+
+    async def test_a_body_that_does_not_come_is_answered_by_the_deadline(self) -> None:
+        text = self.client.text("new-write", body=b"x" * 100, X_Deadline_Ms="200")
+        self.assertEqual((await self.client.raw(text[:-1])).status, 408)
+
+    async def test_a_log_that_no_one_reads_stops_nothing(self) -> None:
+        """Its pipe fills; a write from the event loop would wait for ever."""
+        row = self.register.rows["s-1"]
+        hosts = [{**row, "host": f"s-{number}" * 30} for number in range(2000)]
+        self.discovery.listener.close()
+        await self.launch(known={"seq": 1, "whole": True, "hosts": hosts})
+        await self.program.end(signal.SIGKILL)
+        port = free_port()
+        mute = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lemonridge", "serve", cwd=ROOT, stderr=asyncio.subprocess.PIPE, limit=1,
+            env={**os.environ, "ROUTER_CONFIG": self.config, "ROUTER_LISTEN": f"127.0.0.1:{port}"})
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    try:
+                        client = await Client(port).open()
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.01)
+            answer = await client.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertEqual(answer.status, 200)
+            client.writer.close()
+        finally:
+            mute.kill()
+            await mute.communicate()
+
+
 class Watching(PlatformCase):
     async def test_whole_list_then_a_watch_at_once_and_again_after_failures(self) -> None:
         self.assertIn("GET /api/targets HTTP", self.discovery.seen[0].start)
