Let TCP find dead iSCSI peers; test misbehaving targets, pings and logout requests

Seen: nothing told the front of an initiator that vanished without a word, so that its session kept its place for good; connections before their login had no bound.

Changed: TCP keep-alive on both sides of the iSCSI wire (found within two minutes), and no more than twice max_sessions connections at a time.

Checked: a target that asks for data that there is not, sends data out of place or an unknown opcode loses its session; the write under it is answered CHECK CONDITION and reaches it once.

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -21,6 +21,7 @@
     Op,
     Pdu,
     PduError,
+    keep_alive,
     later,
     pack_lun,
     pack_text,
@@ -107,6 +108,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout_at(loop.time() + self._config.connect_us / 1e6):
             reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+            keep_alive(writer)
             session = NodeSession(reader, writer)
             try:
                 await session.login(self._config.initiator, target)
@@ -285,17 +287,15 @@
         if pdu.byte2 != 0:  # the target failed to carry it out, or not
             flight.done.set_result(scsi.Reply(scsi.Status.TASK_ABORTED))
             return
-        residual = pdu.words[6] if pdu.flags & 0x02 else -pdu.words[6] if pdu.flags & 0x04 else 0
         sense = pdu.data[2 : 2 + int.from_bytes(pdu.data[:2], "big")]
-        flight.done.set_result(scsi.Reply(pdu.byte3, bytes(flight.data), sense, residual))
+        flight.done.set_result(scsi.Reply(pdu.byte3, bytes(flight.data), sense, _residual(pdu)))
 
     def _data_in(self, flight: Flight, pdu: Pdu) -> None:
         if pdu.words[5] != len(flight.data) or len(flight.data) + len(pdu.data) > flight.command.length:
             raise PduError(PduError.PROTOCOL, "data out of place", pdu)
         flight.data += pdu.data
         if pdu.flags & 1 and not flight.done.done():
-            residual = pdu.words[6] if pdu.flags & 0x02 else -pdu.words[6] if pdu.flags & 0x04 else 0
-            flight.done.set_result(scsi.Reply(pdu.byte3, bytes(flight.data), b"", residual))
+            flight.done.set_result(scsi.Reply(pdu.byte3, bytes(flight.data), b"", _residual(pdu)))
 
     def _data_out(self, flight: Flight, pdu: Pdu) -> None:
         """What the target asks for, in PDUs that it takes."""
@@ -309,4 +309,9 @@
                             words=[pdu.words[0], 0, 0, 0, count, offset, 0]))  # fmt: skip
 
 
+def _residual(pdu: Pdu) -> int:
+    """What a status says was not moved, negative for what there was more."""
+    return pdu.words[6] if pdu.flags & 0x02 else -pdu.words[6] if pdu.flags & 0x04 else 0
+
+
 _isid = itertools.count(1)
--- a/lemonridge/iscsi/pdu.py
+++ b/lemonridge/iscsi/pdu.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -82,6 +83,15 @@
     return pdu
 
 
+def keep_alive(writer: asyncio.StreamWriter) -> None:
+    """Let TCP find out, within two minutes, that a peer which says nothing is no longer there."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (("TCP_KEEPIDLE", 60), ("TCP_KEEPINTVL", 15), ("TCP_KEEPCNT", 4)):
+        if hasattr(socket, name):
+            sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+
+
 def later(one: int, other: int) -> int:
     """How far one sequence number is past another, in the arithmetic of RFC 1982."""
     distance = (one - other) & NONE
--- a/lemonridge/iscsi/target.py
+++ b/lemonridge/iscsi/target.py
@@ -22,6 +22,7 @@
     Op,
     Pdu,
     PduError,
+    keep_alive,
     later,
     pack_lun,
     pack_text,
@@ -105,6 +106,10 @@
         return bool(self.sessions)
 
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        keep_alive(writer)
+        if len(self.sessions) >= 2 * self.config.max_sessions:  # up to here a login gets a word
+            writer.transport.abort()
+            return
         session = Session(self, reader, writer)
         self.sessions.add(session)
         self.counters["sessions.opened"] += 1
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -355,6 +355,9 @@
         self.now: dict[int, int] = {}  # commands in work, by block
         self.most = 0  # of one block at a time
         self.status = 0
+        self.odd: list[Pdu] = []  # sent for commands in place of an answer
+        self.pongs: list[Pdu] = []
+        self.logouts = 0
         self.delay = 0.0
         self.silent = self.gone = False
         self.writers: set[asyncio.StreamWriter] = set()
@@ -401,7 +404,10 @@
                             tasks.add(asyncio.create_task(self._end(pdu, writer, numbers)))
                         else:
                             self._r2t(pdu, writer, numbers)
+                elif pdu.opcode == Op.NOP_OUT:
+                    self.pongs.append(pdu)
                 elif pdu.opcode == Op.LOGOUT:
+                    self.logouts += 1
                     self._send(writer, numbers, Pdu(Op.LOGOUT_RESPONSE, tag=pdu.tag))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
@@ -430,6 +436,12 @@
         self.now[block] = self.now.get(block, 0) + 1
         self.most = max(self.most, self.now[block])
         self.writes[pdu.tag] = (pdu.words[0] if write else 0, bytearray(pdu.data), block)
+        if self.odd:
+            odd = self.odd.pop(0)
+            odd.tag = pdu.tag if odd.opcode not in (Op.NOP_IN, Op.ASYNC) else NONE
+            self._send(writer, numbers, odd, False)
+            if odd.tag != NONE:
+                return
         if write and len(pdu.data) < pdu.words[0]:
             self._r2t(pdu, writer, numbers)
         else:
