Refuse a target in absolute form; test the client's own habits and the operator's file

Seen on reading: a request line in absolute form (GET http://host/…) passed the front's checks, and its target would have been joined to a node's address as it stood. It gets 404 now.

Checked: aiohttp's client follows no redirect, keeps no cookie and decompresses nothing here; ten slips in the operator's file are each named by their key.

--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -26,6 +26,7 @@
 CROWDED = 0.5  # of the sockets: with more clients than that, each answer ends its connection
 TAIL_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 HEX = re.compile(r"[0-9a-f]{16}", re.I)
+PATH = re.compile(r"/([^/]+)/([0-9a-f]{16})/([0-9a-f]{16})", re.I)
 PLACEMENT = re.compile(r"units=(\d+(?:\.\d+)?),shard=(-1|\d+),hosts=(\d+)")
 
 
@@ -114,11 +115,11 @@
     async def _parse(self, http: web.BaseRequest, arrived_us: int) -> Request:
         """A core request, or `BadRequestError`: nothing that is malformed goes any further."""
         headers, platform = http.headers, self._platform
-        parts = http.path.split("/")
-        if len(parts) != 4 or parts[0] or not HEX.fullmatch(parts[2]) or not HEX.fullmatch(parts[3]):
+        path = PATH.fullmatch(http.path)
+        if path is None or not http.raw_path.startswith("/"):
             raise BadRequestError(404, "the path must be /class/volume/key, the last two as 16 hex digits")
-        cls = self._classes.get(parts[1])
-        if cls is None or _header(headers, "X-Class") != parts[1]:
+        cls = self._classes.get(path[1])
+        if cls is None or _header(headers, "X-Class") != path[1]:
             raise BadRequestError(400, "the class of the path must be known and stand in X-Class")
         plan = self._plans.get(_header(headers, "X-Qos-Policy"))
         if plan is None:
@@ -151,9 +152,9 @@
             raise BadRequestError(400, "a read has no body")
         return Request(
             shard=shard,
-            volume=int(parts[2], 16),
+            volume=int(path[2], 16),
             deadline_us=deadline_us,
-            key=int(parts[3], 16),
+            key=int(path[3], 16),
             cls=cls,
             plan=plan,
             units=units,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import os
 import signal
 import socket
 import sys
 import time
+import tomllib
 import unittest
 
 from harness import (
@@ -25,9 +27,11 @@
 )  # fmt: skip
 
 from lemonridge import api
+from lemonridge.config import ConfigError
 from lemonridge.core.clock import Clock
 from lemonridge.core.model import Attempt, Outcome, Request, WithheldError
 from lemonridge.counters import Counters
+from lemonridge.iscsi.config import parse
 from lemonridge.net.http_nodes import HttpNodes
 from lemonridge.net.wire import Payload
 
@@ -48,7 +52,8 @@
     async def test_malformed_requests_get_4xx_and_reach_no_node(self) -> None:
         good = "/read/00000003b4d60021/7f3a9c21e0b4d655"
         for changes, status in (
-            ({"path": "/read/3/4"}, 404), ({"path": good.replace("7f", "zz")}, 404),
+            ({"path": "/read/3/4"}, 404), ({"path": "http://127.0.0.1:1" + good}, 404),
+            ({"path": good.replace("7f", "zz")}, 404),
             ({"path": good + "/1"}, 404), ({"path": good.replace("read", "nap")}, 400),
             ({"X_Class": "new-write"}, 400), ({"X_Class": None}, 400), ({"X_Qos_Policy": "gold"}, 400),
             ({"X_Request_Id": None}, 400), ({"X_Request_Id": "12"}, 400), ({"X_Deadline_Ms": None}, 400),
@@ -88,6 +93,23 @@
         counted = await self.program.counters()
         self.assertEqual((counted["attempts.sent"], counted["attempts.reset"]), (6, 2))
 
+    async def test_the_client_towards_nodes_does_nothing_of_its_own(self) -> None:
+        """No redirect is followed, no cookie kept, no proxy asked, no body decompressed."""
+        packed = gzip.compress(b"data")
+
+        async def script(server: Server, _: Message, writer: asyncio.StreamWriter) -> None:
+            if len(server.seen) == 1:
+                reply(writer, status=302, Location=f"http://127.0.0.1:{server.port}/elsewhere")
+            else:
+                reply(writer, packed, Content_Encoding="gzip", Set_Cookie="a=b")
+
+        self.node.script = script
+        for _ in range(2):
+            self.assertEqual((await self.client.ask()).body, packed)
+        paths = {message.start.split()[1] for message in self.node.seen}
+        self.assertEqual((len(self.node.seen), len(paths)), (3, 1))  # the 302 was an error, and tried again
+        self.assertNotIn("cookie", self.node.seen[-1].headers)
+
     async def test_turned_away_is_tried_again_and_an_error_may_have_run(self) -> None:
         async def script(server: Server, _: Message, writer: asyncio.StreamWriter) -> None:
             if len(server.seen) == 1:
@@ -313,9 +335,29 @@
 
 class Configuration(unittest.IsolatedAsyncioTestCase):
     async def test_bad_configuration_is_one_plain_line_and_exit_2(self) -> None:
-        for command in ("serve", "check-config"):
-            for environment in ({}, {"ROUTER_CONFIG": "/nonexistent"}, {"ROUTER_CONFIG": __file__}):
-                program = await Program().start(command, **environment)
-                self.assertEqual(await program.end(signal.SIGCONT), 2)
-                self.assertTrue(program.lines[0].startswith("lemonridge: "))
-                self.assertEqual(program.lines[0].count("\n"), 1)
+        for arguments, environment in (
+            (["serve"], {}), (["check-config"], {}), (["serve"], {"ROUTER_CONFIG": "/nonexistent"}),
+            (["check-config"], {"ROUTER_CONFIG": __file__}), (["serve", "--config", __file__], {}),
+            (["check-config", "--config", "/nonexistent"], {}),
+        ):  # fmt: skip
+            program = await Program().start(*arguments, **environment)
+            self.assertEqual(await program.end(signal.SIGCONT), 2)
+            self.assertTrue(program.lines[0].startswith("lemonridge: "))
+            self.assertEqual(program.lines[1:], [""])
+
+    async def test_the_operators_file_is_checked_key_by_key(self) -> None:
+        text = (ROOT / "deploy" / "iscsi.toml").read_text()
+        self.assertEqual(parse(tomllib.loads(text)).luns[1].plan, 1)
+        for old, new, word in (
+            ('plan = "basic"', 'plan = "gold"', "lun[1].plan"), ("lun = 1", "lun = 0", "lun[1].lun"),
+            ("queue_depth = 32", "queue_depth = 0", "iscsi.queue_depth"), ("brokers", "brokes", "brokes"),
+            ("aim_ms = 400", "", "classes.write.aim_ms"), ('name = "basic"', 'name = "standard"', "plans"),
+            ('address = "127.0.0.1:13261"', 'address = "x"', "node[1].address"),
+            ('listen = "127.0.0.1:3260"', 'listen = "127.0.0.1:99999"', "iscsi.listen"),
+            ("reserve = 48", "reserve = -1", "plan[0].reserve"),
+            ("iqn.2026-12.org.lemonridge:store", "x", "iscsi.target"),
+        ):  # fmt: skip
+            with self.subTest(word=word), self.assertRaises(ConfigError) as caught:
+                self.assertIn(old, text)
+                parse(tomllib.loads(text.replace(old, new)))
+            self.assertIn(word, str(caught.exception))
