End a start that waits for etcd at SIGTERM

Seen on reading app.py: SIGTERM only set an event that no one awaited until every front was up, so a start that waited for etcd never ended. The start is a task now that the signal ends; the test fails without it, for want of an exit.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -113,16 +113,24 @@
     stop = asyncio.Event()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
-    services = []
-    if platform is not None:
-        services.append(await platform_service(platform))
-    if iscsi is not None:
-        services.append(await iscsi_service(iscsi))
+    services: list[Service] = []
 
     def print_counters() -> None:
         for service in services:
             service.print_counters("SIGUSR1")
 
+    async def start() -> None:
+        if platform is not None:
+            services.append(await platform_service(platform))
+        if iscsi is not None:
+            services.append(await iscsi_service(iscsi))
+
     loop.add_signal_handler(signal.SIGUSR1, print_counters)
-    await stop.wait()
+    # The start may wait for etcd: a signal must end that wait too.
+    starting, stopping = asyncio.create_task(start()), asyncio.create_task(stop.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    if starting.done():
+        starting.result()
+    await stopping
+    starting.cancel()
     await asyncio.gather(*(service.stop() for service in services))
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -576,7 +576,8 @@
         self.addCleanup(folder.cleanup)
         path = Path(folder.name) / "iscsi.toml"
         path.write_text(f'{text}\n[etcd]\nendpoint = "127.0.0.1:{self.etcd.port}"\nprefix = "/lr/"\n')
-        self.program = await Program().start("serve", "--config", str(path))
+        self.config = str(path)
+        self.program = await Program().start("serve", "--config", self.config)
         self.addAsyncCleanup(self.program.end, signal.SIGKILL)
         self.port = int((await self.program.line("event=listening")).rsplit(":", 1)[1])
         await self.etcd.until(lambda: bool(self.etcd.streams))
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from harness import IscsiCase, Target
+from harness import IscsiCase, Program, Target
 
 
 class Following(IscsiCase):
@@ -54,6 +54,15 @@
         await self.served_by(self.target)
 
 
+class Unreachable(IscsiCase):
+    async def test_sigterm_ends_a_start_that_waits_for_etcd(self) -> None:
+        self.etcd.listener.close()
+        self.etcd.cut()
+        waiting = await Program().start("serve", "--config", self.config)
+        await waiting.line("etcd failed")
+        self.assertEqual(await waiting.end(), 0)
+
+
 class Contracts(IscsiCase):
     changes = {'plan = "standard"\nshard = 0': 'plan = "basic"\nshard = 0'}
 
