--- a/lemonridge/core/directory.py
+++ b/lemonridge/core/directory.py
@@ -46,7 +46,7 @@
             log.info("listed", extra={
                 "node": entry.node, "condition": entry.condition.value, "shard": entry.shard,
                 "started_us": entry.started_us, "address": listing.address})  # fmt: skip
-        self.listed = self.listed or bool(listings)
+        self.listed = self.listed or bool(listings) or kind is api.ListKind.WHOLE  # also an empty one is news
         self._sink.tell(api.Listed(kind, tuple(listing.entry for listing in listings)))
 
     def entries(self) -> tuple[api.Entry, ...]:
