Share the watches' client and back-off; remove what the first form left over

Found on reading the whole change. Nothing that is seen from outside changes; the tests are as they were.

- discovery.py and etcd.py each counted, logged and paused after a failure, and each made the same client: net/watching.py serves both.
- target.py ended a command in the same way in drop and in _manage: _abort.
The login kept two names for one state and a copy of the first keys; _one awaited nothing.
- etcd.py took a key apart twice: _key. initiator.py took an address apart beside Address.parse, and held a clock that it never read.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -99,7 +99,7 @@
         made.watch(source.run(made.directory))
     else:
         made.directory.take(api.ListKind.WHOLE, list(config.nodes))
-    nodes = IscsiNodes(config, made.directory, made.clock, made.counters)
+    nodes = IscsiNodes(config, made.directory, made.counters)
     made.close = nodes.close
     broker = Broker(made.decider, nodes, made.counters)
     made.front = front = IscsiFront(config, broker, made.clock, made.counters)
--- a/lemonridge/etcd.py
+++ b/lemonridge/etcd.py
@@ -24,7 +24,7 @@
 from lemonridge.core.directory import Directory, Listing
 from lemonridge.counters import Counters
 from lemonridge.iscsi.config import Etcd, Iscsi, Table, listing, plan_from
-from lemonridge.net.wire import session
+from lemonridge.net.watching import Backoff, client
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +51,8 @@
         self._url, self._prefix = f"http://{etcd.endpoint}/v3", etcd.prefix
         end = etcd.prefix[:-1] + chr(ord(etcd.prefix[-1]) + 1)
         self._span = {"key": _b64(etcd.prefix), "range_end": _b64(end)}
-        self._random, self._counters, self._failed = random, counters, 0
+        self._counters = counters
+        self._backoff = Backoff("etcd", log, PAUSE_S, PAUSE_TOP_S, random, counters)
         self._nodes: dict[str, Listing] = {}
         self._plans: dict[str, api.Plan] = {}
         self._revision = 0
@@ -60,50 +61,40 @@
         """The configuration with the contracts that etcd holds at the start; waits until it answers.
 
         The module is told its contracts once, at its start, so a later change waits for the next."""
-        async with self._client() as client:
+        async with client() as http:
             while True:
                 try:
-                    await self._range(client)
+                    await self._range(http)
                     break
                 except FAILURES as error:
-                    await self._pause(error)
+                    await self._backoff.failed(error)
         plans = tuple(self._plans.get(name, plan) for name, plan in zip(config.plans, config.settings.plans,
                                                                         strict=True))  # fmt: skip
         return replace(config, settings=replace(config.settings, plans=plans))
 
     async def run(self, directory: Directory) -> None:
         """Range, then watch from the next revision; after a failure watch on, after a compaction range."""
-        async with self._client() as client:
+        async with client() as http:
             ranged = False
             while True:
                 try:
                     if not ranged:
-                        await self._range(client)
+                        await self._range(http)
                         directory.take(api.ListKind.WHOLE, list(self._nodes.values()))
                         ranged = True
-                    async with aclosing(self._watch(client)) as results:
+                    async with aclosing(self._watch(http)) as results:
                         async for result in results:
-                            self._failed = 0
+                            self._backoff.worked()
                             self._changes(result, directory)
                 except CompactedError:
                     ranged = False
                     log.info("etcd compacted", extra={"revision": self._revision})
                 except FAILURES as error:
-                    await self._pause(error)
+                    await self._backoff.failed(error)
 
-    def _client(self) -> aiohttp.ClientSession:
-        return session(aiohttp.TCPConnector(limit=0, happy_eyeballs_delay=None))
-
-    async def _pause(self, error: Exception) -> None:
-        self._counters["etcd.failed"] += 1
-        log.warning("etcd failed", extra={"error": f"{type(error).__name__}: {error}"})
-        pause = min(PAUSE_TOP_S, PAUSE_S * 2**self._failed)
-        self._failed = min(self._failed + 1, 16)
-        await asyncio.sleep(pause * self._random.uniform(0.5, 1.5))
-
-    async def _range(self, client: aiohttp.ClientSession) -> None:
+    async def _range(self, http: aiohttp.ClientSession) -> None:
         async with asyncio.timeout_at(asyncio.get_running_loop().time() + ANSWER_S):
-            async with client.post(f"{self._url}/kv/range", data=orjson.dumps(self._span)) as answer:
+            async with http.post(f"{self._url}/kv/range", data=orjson.dumps(self._span)) as answer:
                 told = orjson.loads(await answer.read())
         if answer.status != 200:
             raise ValueError(f"status {answer.status}: {told}")
@@ -113,11 +104,11 @@
             self._put(row)
         self._counters["etcd.ranges"] += 1
 
-    async def _watch(self, client: aiohttp.ClientSession) -> AsyncGenerator[dict[str, Any], None]:
+    async def _watch(self, http: aiohttp.ClientSession) -> AsyncGenerator[dict[str, Any], None]:
         """The messages of one watch, however the stream was cut into chunks, until it is to be renewed."""
         create = {"create_request": {**self._span, "start_revision": str(self._revision + 1)}}
         renew = asyncio.get_running_loop().time() + RENEW_S
-        async with client.post(f"{self._url}/watch", data=orjson.dumps(create)) as answer:
+        async with http.post(f"{self._url}/watch", data=orjson.dumps(create)) as answer:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             self._counters["etcd.watches"] += 1
@@ -156,9 +147,14 @@
         if changed:
             directory.take(api.ListKind.PATCH, changed)
 
+    def _key(self, row: dict[str, Any]) -> tuple[str, str]:
+        """The two parts of a key below the prefix."""
+        kind, _, name = base64.b64decode(row["key"]).decode()[len(self._prefix) :].partition("/")
+        return kind, name
+
     def _put(self, row: dict[str, Any]) -> Listing | None:
         """Take in one key. What cannot be read changes nothing: the last good value stands."""
-        kind, _, name = base64.b64decode(row["key"]).decode()[len(self._prefix) :].partition("/")
+        kind, name = self._key(row)
         try:
             table = Table(orjson.loads(base64.b64decode(row.get("value", ""))), f"{kind}/{name}")
             if kind == "nodes":
@@ -175,6 +171,6 @@
         return None
 
     def _delete(self, row: dict[str, Any]) -> Listing | None:
-        kind, _, name = base64.b64decode(row["key"]).decode()[len(self._prefix) :].partition("/")
+        kind, name = self._key(row)
         line = self._nodes.pop(name, None) if kind == "nodes" else None
         return line and replace(line, entry=replace(line.entry, condition=api.Condition.LEFT))
--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from lemonridge import api
-from lemonridge.core.clock import Clock
+from lemonridge.config import Address
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
@@ -51,8 +51,8 @@
 class IscsiNodes:
     """Makes attempts at the nodes' targets, over one session to each."""
 
-    def __init__(self, config: Iscsi, directory: Directory, clock: Clock, counters: Counters) -> None:
-        self._config, self._directory, self._clock, self._counters = config, directory, clock, counters
+    def __init__(self, config: Iscsi, directory: Directory, counters: Counters) -> None:
+        self._config, self._directory, self._counters = config, directory, counters
         self._sessions: dict[str, asyncio.Task[NodeSession]] = {}
 
     async def attempt(self, attempt: Attempt) -> Outcome:
@@ -104,10 +104,10 @@
 
     async def _open(self, address: str) -> NodeSession:
         portal, _, target = address.partition("/")
-        host, _, port = portal.rpartition(":")
+        at = Address.parse(portal, "a node's address")
         loop = asyncio.get_running_loop()
         async with asyncio.timeout_at(loop.time() + self._config.connect_us / 1e6):
-            reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+            reader, writer = await asyncio.open_connection(at.host, at.port)
             keep_alive(writer)
             session = NodeSession(reader, writer)
             try:
--- a/lemonridge/iscsi/target.py
+++ b/lemonridge/iscsi/target.py
@@ -151,7 +151,7 @@
             return
         self.logged_in = True
         try:
-            while await self._one(await read_pdu(self.reader)):
+            while self._one(await read_pdu(self.reader)):
                 await self.writer.drain()
         except PduError as error:
             # At error recovery level 0 a breach ends the session, after a word about its cause.
@@ -163,9 +163,7 @@
     def drop(self) -> None:
         """The connection is over: its commands have no one left to answer."""
         for task in list(self.tasks.values()):
-            self._forget(task)
-            if task.runner is not None:
-                task.runner.cancel()
+            self._abort(task)
         self.writer.close()
         loop = asyncio.get_running_loop()
         loop.call_at(loop.time() + LINGER_S, self.writer.transport.abort)
@@ -198,8 +196,7 @@
     # Login and text keys
 
     async def _login(self) -> None:
-        text, stage, answered = b"", -1, False
-        keys: dict[str, str] = {}
+        text, stage, identified = b"", -1, False
         while True:
             pdu = await read_pdu(self.reader)
             if pdu.opcode != Op.LOGIN:
@@ -219,10 +216,9 @@
                 told = unpack_text(text)
             except PduError:
                 self._refuse_login(pdu, INVALID)
-            text, first = b"", not answered
-            keys.update(told)
-            pairs = self._identify(pdu, keys) if first else []
-            answered = True
+            text = b""
+            pairs = [] if identified else self._identify(pdu, told)
+            identified = True
             if now == SECURITY and "AuthMethod" in told:
                 if "None" not in told["AuthMethod"].split(","):
                     self._refuse_login(pdu, AUTHENTICATION)
@@ -313,7 +309,7 @@
 
     # Full feature phase
 
-    async def _one(self, pdu: Pdu) -> bool:
+    def _one(self, pdu: Pdu) -> bool:
         """Take one PDU; False ends the session."""
         if pdu.opcode == Op.DATA_OUT:
             self._data_out(pdu)
@@ -383,9 +379,7 @@
             response, victims = (4 if function == 8 else 5), []
         for task in victims:
             self.front.counters["commands.aborted"] += 1
-            self._forget(task)
-            if task.runner is not None:
-                task.runner.cancel()
+            self._abort(task)
         self._send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
 
     def _command(self, pdu: Pdu) -> None:
@@ -493,6 +487,12 @@
         if self.ending and not self.tasks:
             self.writer.close()
 
+    def _abort(self, task: Task) -> None:
+        """End a command without a response."""
+        self._forget(task)
+        if task.runner is not None:
+            task.runner.cancel()
+
     def _forget(self, task: Task) -> None:
         """A command is over; its place in the window is free again."""
         if self.tasks.get(task.pdu.tag) is task:
--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -13,7 +13,7 @@
 from lemonridge import api
 from lemonridge.core.directory import Directory, Listing
 from lemonridge.counters import Counters
-from lemonridge.net.wire import session
+from lemonridge.net.watching import Backoff, client
 
 log = logging.getLogger(__name__)
 
@@ -62,30 +62,27 @@
     def __init__(self, address: str, zones: tuple[str, ...], directory: Directory, random: Random,
                  counters: Counters) -> None:
         self._url, self._zones, self._directory = f"http://{address}/api/targets", zones, directory
-        self._random, self._counters = random, counters
+        self._backoff = Backoff("discovery", log, PAUSE_S, PAUSE_TOP_S, random, counters)
+        self._counters = counters
 
     async def run(self) -> None:
         """Take the whole list, then watch; the next call leaves at once, or it would be a new watch."""
         loop = asyncio.get_running_loop()
-        async with session(aiohttp.TCPConnector(limit=0, happy_eyeballs_delay=None)) as client:
+        async with client() as http:
             seq: int | None = None
-            failed = 0
             while True:
                 query = "" if seq is None else f"?after={seq}&wait_ms={int(WAIT_S * 1000)}"
                 try:
                     async with asyncio.timeout_at(loop.time() + WAIT_S + GRACE_S):
-                        async with client.get(self._url + query, allow_redirects=False) as answer:
+                        async with http.get(self._url + query, allow_redirects=False) as answer:
                             body = await answer.read()
                     if answer.status != 200:
                         raise MalformedError(f"status {answer.status}")
-                    seq, failed = self._take(body), 0
+                    seq = self._take(body)
+                    self._backoff.worked()
                 except (aiohttp.ClientError, OSError, MalformedError) as error:
-                    self._counters["discovery.failed"] += 1
-                    log.warning("discovery failed", extra={"error": f"{type(error).__name__}: {error}"})
                     seq = None  # what happened meanwhile is only in the whole list
-                    pause = min(PAUSE_TOP_S, PAUSE_S * 2**failed)
-                    failed = min(failed + 1, 16)
-                    await asyncio.sleep(pause * self._random.uniform(0.5, 1.5))
+                    await self._backoff.failed(error)
 
     def _take(self, body: bytes) -> int:
         try:
