Hand whole, strictly read requests to aiohttp, and bound the clients' connections

Checked: nodes' connections (63 at once) and CPU (0.86 s at most, most of it those log lines) are not the cause. At fault: http_front._crowded acted after an answer only, aiohttp's keep-alive is an hour, the accept loop took 1024 in one turn, and aiohttp's handler, parser and task were made for every connection.

Now a connection has a state (fresh, partial, idle, busy, leaving) and a time limit in it; past half of the sockets the longest silent one makes room. Heads are read strictly, figures beyond the settings and open ids are refused, a body of 60 MB gets its 413 without being read.

--- a/lemonridge/config.py
+++ b/lemonridge/config.py
@@ -13,7 +13,7 @@
 from lemonridge import api
 from lemonridge.settings import SettingsError, names, settings_from
 
-SOCKETS = 1024  # where no limit is told
+SOCKETS, MEMORY_MB = 1024, 192  # where no limit is told
 NAMED = ("name", "listen", "discovery")  # the keys of the file that a variable can go before
 
 
@@ -55,6 +55,8 @@
     connect_us: int
     keepalive_us: int
     sockets: int
+    memory_bytes: int
+    shards: int  # 0 where they are not told
     known: Mapping[str, Any]
     filed: Mapping[str, Any]  # the keys that have a variable, as the file itself has them
 
@@ -66,6 +68,14 @@
     return int(value)
 
 
+def _told(table: Mapping[str, Any], name: str) -> float:
+    """A positive number that may be left out; 0 where it is."""
+    value = table.get(name)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return 0
+    return value if 0 < value < 2**53 else 0
+
+
 def load(environment: Mapping[str, str] = os.environ, before: Platform | None = None) -> Platform:
     """The platform's configuration; a variable goes before the same key of the file.
 
@@ -113,7 +123,7 @@
     if not isinstance(writes, list) or len(writes) != len(classes):
         raise SettingsError("settings lack the list 'family-info.class-writes'")
     limits, known = told.get("limits"), told.get("known")
-    sockets = limits.get("sockets") if isinstance(limits, dict) else None
+    limits = limits if isinstance(limits, dict) else {}
     return Platform(
         name=str(told["name"]),
         listen=Address.parse(told["listen"], "'listen'"),
@@ -126,7 +136,9 @@
         zones=tuple(map(str, facts.get("azs") or ())),
         connect_us=_limit(facts, "connect-timeout-us"),
         keepalive_us=_limit(facts, "keepalive-us"),
-        sockets=sockets if isinstance(sockets, int) and sockets > 0 else SOCKETS,
+        sockets=int(_told(limits, "sockets") or SOCKETS),
+        memory_bytes=int((_told(limits, "memory_mb") or MEMORY_MB) * 2**20),
+        shards=int(_told(facts["family-info"], "n-shards")),
         known=known if isinstance(known, dict) else {},
         filed=filed,
     )
--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -10,6 +10,7 @@
 from lemonridge.core.model import (
     Answer,
     Attempt,
+    DuplicateError,
     Kind,
     Nodes,
     Outcome,
@@ -28,12 +29,17 @@
     def __init__(self, decider: Decider, nodes: Nodes, counters: Counters) -> None:
         self._decider, self._nodes, self._counters = decider, nodes, counters
         self._lives: set[asyncio.Task[None]] = set()
+        self._idents: set[str] = set()  # of the requests whose life is not over
 
     async def serve(self, request: Request) -> Answer:
         """The final answer to a request; to cancel this tells that the client has gone.
 
         The life goes on behind it until its last attempt has ended, as the node works on too.
         """
+        if request.ident in self._idents:
+            raise DuplicateError
+        if request.ident:
+            self._idents.add(request.ident)
         mailbox = self._decider.open(request)
         life = asyncio.create_task(self.carry(mailbox))
         self._lives.add(life)
@@ -71,6 +77,7 @@
             if mailbox.settle(Answer(Kind.FAILED)):
                 self._decider.tell(api.Gone(mailbox.name))
             self._decider.close(mailbox)
+            self._idents.discard(mailbox.request.ident)
 
     async def _attempt(self, mailbox: Mailbox, attempt: Attempt) -> Outcome:
         """One attempt, until the request's deadline or until it is called off.
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -22,6 +22,7 @@
     units: float
     hosts: int
     payload: object
+    ident: str = ""  # by which the nodes know it, where its wire has such a thing
 
 
 @dataclass(slots=True)
@@ -63,6 +64,10 @@
     backoff_us: int = 0
 
 
+class DuplicateError(Exception):
+    """A request with this ident is open already: the nodes would see one request twice."""
+
+
 class UnreachedError(Exception):
     """The attempt never came to the node: it cannot have run."""
 
--- /dev/null
+++ b/lemonridge/net/http_connection.py
@@ -0,0 +1,254 @@
+"""The clients' connections: their bytes, their number and their age.
+
+aiohttp's handler stands behind each connection and is given whole requests only, one at a time. A client
+that sends nothing, or what cannot be read, costs no handler, no parser and no task.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import IntEnum
+from http import HTTPStatus
+
+from aiohttp import web
+
+from lemonridge.core.clock import Clock
+from lemonridge.counters import Counters
+from lemonridge.net import heads
+from lemonridge.net.wire import BODY_MAX
+
+WAIT_S = 2.0  # a connection with no open request may be closed after that
+KEEP_S = 10.0  # an idle one is kept so long while there is room
+ROOMY = 1 / 8  # of the sockets: with no more clients than that there is room
+SHARE = 0.5  # of the sockets: more are not held; the rest is for the nodes
+LINGER_S = 0.5  # for an early answer to reach a client that still sends
+UNTAKEN_S = 5.0  # how long a client may leave its answer unread
+SWEEP_S = 0.25
+AHEAD = 16 * 1024  # bytes behind an open request, before they are left in the socket
+
+
+class State(IntEnum):
+    """What a connection does."""
+
+    LEAVING = 0  # it has its last answer, and is given a moment to read it
+    FRESH = 1  # it has never asked
+    PARTIAL = 2  # its next request has begun
+    IDLE = 3
+    BUSY = 4  # its request is open
+
+
+# In this order connections make room for a new one, if they have been there for so long: who connects to
+# ask does so at once, and what has begun is about to be whole.
+SPARED_S = {State.LEAVING: 0.0, State.FRESH: 0.005, State.PARTIAL: 0.05, State.IDLE: 0.5}
+
+
+class Room:
+    """Every connection of a front, by state, the longest there first."""
+
+    def __init__(self, clock: Clock, counters: Counters) -> None:
+        self.clock, self.counters = clock, counters
+        self._loop = asyncio.get_running_loop()
+        self._states: tuple[dict[Connection, float], ...] = tuple({} for _ in State)
+        self.configure(1024, 1 << 23)
+        self.buffered = 0
+        self._timer = self._loop.call_at(self._loop.time() + SWEEP_S, self._sweep)
+
+    def configure(self, sockets: int, buffer_max: int) -> None:
+        """How many sockets the program may hold, and how many bytes of requests that are not whole."""
+        self._sockets, self.buffer_max = sockets, buffer_max
+
+    def __len__(self) -> int:
+        return sum(map(len, self._states))
+
+    def move(self, connection: Connection, state: State | None) -> None:
+        """A connection has come to a state; None where it has ended."""
+        for others in self._states:
+            others.pop(connection, None)
+        if state is not None:
+            self._states[state][connection] = self._loop.time()
+
+    def admit(self, connection: Connection) -> None:
+        """Take in a new connection, in place of the one that can best be spared.
+
+        Guards the descriptors: without them nothing is accepted and no node is reached.
+        """
+        self.counters["clients.connected"] += 1
+        self.move(connection, State.FRESH)
+        if len(self) <= self._sockets * SHARE:
+            return
+        now = self._loop.time()
+        self.counters["clients.evicted"] += 1
+        for state, age in SPARED_S.items():
+            longest, since = next(iter(self._states[state].items()), (connection, now))
+            if since < now - age:
+                longest.abort()
+                return
+        connection.abort()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is open."""
+        return bool(self._states[State.BUSY])
+
+    def close_waiting(self) -> None:
+        """End every connection that has no open request."""
+        for state in SPARED_S:
+            for connection in list(self._states[state]):
+                connection.close()
+
+    def _sweep(self) -> None:
+        """End what has waited for too long."""
+        now = self._loop.time()
+        self._timer = self._loop.call_at(now + SWEEP_S, self._sweep)
+        keep = KEEP_S if len(self) <= self._sockets * ROOMY else WAIT_S
+        for state, limit in ((State.LEAVING, LINGER_S), (State.FRESH, WAIT_S), (State.PARTIAL, WAIT_S),
+                             (State.IDLE, keep)):  # fmt: skip
+            for connection, since in list(self._states[state].items()):
+                if since > now - limit:
+                    break
+                self.counters["clients.expired"] += 1
+                connection.abort() if state is State.LEAVING else connection.close()
+        for connection in list(self._states[State.BUSY]):
+            if connection.stuck_at is not None and connection.stuck_at < now - UNTAKEN_S:
+                self.counters["clients.expired"] += 1
+                connection.abort()
+
+
+class Connection(asyncio.Protocol):
+    """One client's connection, between its socket and aiohttp's handler."""
+
+    def __init__(self, room: Room, server: web.Server, by_handler: dict[object, Connection]) -> None:
+        self._room, self._server, self._by_handler = room, server, by_handler
+        self._handler: web.RequestHandler | None = None
+        self._data = bytearray()
+        self._searched = 0  # of the data, for the end of a head
+        self._need = 0  # the length of the request that has begun, once its head is there
+        self._busy = self._over = self._paused = False
+        self.arrived_us = 0  # when the first byte of the request came
+        self.stuck_at: float | None = None  # since when the client has not taken what is written
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._room.admit(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._over = True
+        self._room.buffered -= len(self._data)
+        self._room.move(self, None)
+        if self._handler is not None:
+            self._by_handler.pop(self._handler, None)
+            self._handler.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        self.stuck_at = asyncio.get_running_loop().time()
+        if self._handler is not None:
+            self._handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        self.stuck_at = None
+        if self._handler is not None:
+            self._handler.resume_writing()
+
+    def data_received(self, data: bytes) -> None:
+        if self._over:
+            return
+        if not self._data:
+            self.arrived_us = self._room.clock.now_us()
+            if self._handler is not None and not self._busy:
+                self._room.move(self, State.PARTIAL)
+        self._data += data
+        self._room.buffered += len(data)
+        if not self._busy:
+            self._next()
+        elif len(self._data) > AHEAD:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def answered(self, keep: bool) -> None:
+        """The answer to the open request is written, or can't be."""
+        self._busy = False
+        if self._over or not keep:
+            self._over = True
+            return
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+        self._room.move(self, State.PARTIAL if self._data else State.IDLE)
+        if self._data:
+            asyncio.get_running_loop().call_soon(self._next)
+
+    def refuse(self, status: int, text: str) -> None:
+        """Answer what must not go further, and end the connection: where its next request begins is not
+        known. It is not read any more, and closed a moment later: at once, TCP would take the answer back
+        from a client that still sends."""
+        self._room.counters["requests.bad"] += 1
+        body = f"{text}\n".encode()
+        head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
+        self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
+        self._over = True
+        if self._need <= len(self._data):
+            self._transport.close()
+            return
+        self._transport.pause_reading()
+        self._transport.write_eof()
+        self._room.move(self, State.LEAVING)
+
+    def close(self) -> None:
+        self._leave()
+        self._transport.close()
+
+    def abort(self) -> None:
+        self._leave()
+        self._transport.abort()
+
+    def _leave(self) -> None:
+        """It counts no more, though the loop tells of its end a turn later only."""
+        self._over = True
+        self._room.move(self, None)
+
+    def _next(self) -> None:
+        """Hand over the next request, once it is whole."""
+        if self._over or self._busy:
+            return
+        if not self._need and not self._head():
+            return
+        if len(self._data) < self._need:
+            if self._room.buffered > self._room.buffer_max:
+                self.refuse(503, "too much is on its way")
+            return
+        message = bytes(self._data[: self._need])
+        del self._data[: self._need]
+        self._room.buffered -= self._need
+        self._searched = self._need = 0
+        if self._handler is None:
+            self._handler = self._server()
+            self._by_handler[self._handler] = self
+            self._handler.connection_made(self._transport)
+        self._busy = True
+        self._room.move(self, State.BUSY)
+        self._handler.data_received(message)
+
+    def _head(self) -> bool:
+        """Read the head of the next request; False where it is not whole or not to be taken."""
+        while self._data.startswith(b"\r\n") and len(self._data) > 2:  # an empty line before it is allowed
+            del self._data[:2]
+            self._room.buffered -= 2
+        end = self._data.find(heads.END, max(0, self._searched - 3))
+        if end < 0 or end > heads.HEAD_MAX:
+            self._searched = len(self._data)
+            if len(self._data) > heads.HEAD_MAX:
+                self._need = len(self._data) + 1  # there is more of it
+                self.refuse(431, "the head is too long")
+            return False
+        try:
+            length, fields = heads.request(bytes(self._data[: end + 4]))
+            self._need = end + 4 + length
+            if length > BODY_MAX:
+                raise heads.HeadError(413, "a body holds 64 KiB at most")
+        except heads.HeadError as error:
+            self.refuse(error.status, str(error))
+            return False
+        if fields.get(b"expect") == [b"100-continue"] and len(self._data) < self._need:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return True
