Read nodes' answers strictly, and let no surplus byte become the next answer

Checked with a probe in the tests: bytes behind an answer stayed in aiohttp's reader, or came after the release of the connection, and were read as the answer to the next request; heads with two lengths, a bad field or no length were taken, since aiohttp's client parser is lenient unless the interpreter runs in its development mode. Ruled out: 1xx in front, which aiohttp skips. At fault: http_nodes read whatever the connection brought, and connector._get gave out a connection by is_connected alone.

AnswerReader stands in front of the parser; a surplus ends the connection, a rest of 2 ms and a look at the socket come before its next use. A rested connection is preferred, so the rest costs nothing on calm connections.

--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import select
 from types import SimpleNamespace
 from typing import Any
 
@@ -18,15 +20,13 @@
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
+from lemonridge.net.http_answer import AnswerReader, BrokenError
 from lemonridge.net.wire import BODY_MAX, Payload, session
 
+REST_S = 0.002  # of a connection after an answer: what comes right behind it must be seen before its next use
 RETIRE = 0.9  # of the time after which a node closes an idle connection: a later request is a reset
 
 
-class _Broken(aiohttp.ClientError):
-    """A connection broke. Not one of the errors after which aiohttp sends a request again."""
-
-
 async def _once(request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType) -> aiohttp.ClientResponse:
     """Let a request reach a node once.
 
@@ -38,7 +38,7 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _Broken(str(error)) from error
+        raise BrokenError(str(error)) from error
 
 
 class _Connector(aiohttp.TCPConnector):
@@ -48,6 +48,7 @@
         super().__init__(limit=0, limit_per_host=0, keepalive_timeout=keepalive_us * RETIRE / 1e6,
                          happy_eyeballs_delay=None, use_dns_cache=False)
         self._connect_us, self._counters = connect_us, counters
+        self._factory = functools.partial(AnswerReader, loop=self._loop)  # type: ignore[assignment]
 
     def configure(self, connect_us: int, keepalive_us: int) -> None:
         self._connect_us, self._keepalive_timeout = connect_us, keepalive_us * RETIRE / 1e6
@@ -67,15 +68,53 @@
         self._counters["connections.opened"] += 1
         return await super()._create_connection(req, traces, timeout)
 
+    async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
+        """An idle connection that has had its rest, on which nothing came and which has not ended.
+
+        A rest is shorter than the making of a connection. What came is asked of the system, since the
+        event loop may not have read it yet.
+        """
+        if idle := self._conns.get(key):
+            rested = next((one for one in idle if self._rest_s(one[0]) <= 0), idle[0])
+            idle.remove(rested)
+            idle.appendleft(rested)
+        while (connection := await super()._get(key, traces)) is not None:
+            protocol = connection.protocol
+            try:
+                if (rest_s := self._rest_s(protocol)) > 0:
+                    await asyncio.sleep(rest_s)
+            except BaseException:
+                connection.close()
+                raise
+            if protocol is not None and not protocol.should_close and _quiet(protocol):
+                return connection
+            self._counters["connections.spoilt"] += 1
+            connection.close()
+        return None
+
+    def _rest_s(self, protocol: ResponseHandler | None) -> float:
+        return protocol.rested_at - self._loop.time() if isinstance(protocol, AnswerReader) else 0.0
+
     def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
         """aiohttp takes from the left and gives back on the right, so that every connection stays in
         use; given back on the left, the ones that are not needed grow old and are closed."""
+        if isinstance(protocol, AnswerReader):
+            protocol.rested_at = self._loop.time() + REST_S
         super()._release(key, protocol, should_close=should_close)
         idle = self._conns.get(key)
         if idle and idle[-1][0] is protocol:
             idle.rotate(1)
 
 
+def _quiet(protocol: ResponseHandler) -> bool:
+    """Whether nothing waits to be read on a connection, not even its end."""
+    if protocol.transport is None:
+        return False
+    poll = select.poll()
+    poll.register(protocol.transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return not poll.poll(0)
+
+
 class HttpNodes:
     """Makes attempts at the platform's nodes."""
 
