Let idle client connections make room past a quarter of the sockets

Clients keep to a third (85), and those left open count. At fault: Room.admit made room past half only.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -20,6 +20,7 @@
 WAIT_S = 2.0  # a connection with no open request may be closed after that
 KEEP_S = 10.0  # an idle one is kept so long while there is room
 ROOMY = 1 / 8  # of the sockets: with no more clients than that there is room
+TIGHT = 0.25  # of the sockets: past it a new one takes the place of one that can be spared
 SHARE = 0.5  # of the sockets: more are not held; the rest is for the nodes
 LINGER_S = 0.5  # for an early answer to reach a client that still sends
 UNTAKEN_S = 5.0  # how long a client may leave its answer unread
@@ -70,20 +71,24 @@
     def admit(self, connection: Connection) -> None:
         """Take in a new connection, in place of the one that can best be spared.
 
-        Guards the descriptors: without them nothing is accepted and no node is reached.
+        Guards the descriptors: without them nothing is accepted and no node is reached. The usual clients
+        keep to a third of them, counting connections that others asked on once and left open, so room is
+        made well before.
         """
         self.counters["clients.connected"] += 1
         self.move(connection, State.FRESH)
-        if len(self) <= self._sockets * SHARE:
+        if len(self) <= self._sockets * TIGHT:
             return
         now = self._loop.time()
-        self.counters["clients.evicted"] += 1
         for state, age in SPARED_S.items():
             longest, since = next(iter(self._states[state].items()), (connection, now))
             if since < now - age:
+                self.counters["clients.evicted"] += 1
                 longest.abort()
                 return
-        connection.abort()
+        if len(self) > self._sockets * SHARE:
+            self.counters["clients.evicted"] += 1
+            connection.abort()
 
     @property
     def busy(self) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,6 +38,7 @@
 from lemonridge.core.model import Attempt, Outcome, Request, WithheldError
 from lemonridge.counters import Counters
 from lemonridge.iscsi.config import parse
+from lemonridge.net.http_connection import SPARED_S, State
 from lemonridge.net.http_nodes import REST_S, HttpNodes
 from lemonridge.net.wire import Payload
 
@@ -335,6 +336,17 @@
         self.assertEqual(await silent[0].reader.read(), b"")
         self.assertGreater((await self.program.counters())["clients.evicted"], 20)
 
+    async def test_past_a_quarter_of_the_sockets_the_longest_idle_makes_room(self) -> None:
+        """Clients keep to a third of them, and count what others asked on once and left open."""
+        asked = [await self.connect() for _ in range(12)]
+        began = time.monotonic()
+        while time.monotonic() - began < SPARED_S[State.IDLE] + 0.1:
+            await asked[-1].ask()
+        await self.connect(ready=False)
+        async with asyncio.timeout(PATIENCE_S):
+            self.assertEqual(await self.client.reader.read(), b"")
+        self.assertLess(time.monotonic() - began, 1.5)
+
     async def test_who_sends_no_whole_request_is_closed_within_3_s(self) -> None:
         """Each such connection holds a descriptor; those of a flood are all there are."""
         texts = (b"", b"\r\n", self.client.text()[:-2], self.client.text("new-write", body=b"x" * 9)[:-1])
