--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -120,6 +120,8 @@
             return self._ready(http)
         try:
             request = await self._parse(http, arrived_us)
+            if self._stopping:
+                self._counters["requests.stopping"] += 1
             # Not by a nearer deadline: the module takes that for a client that has waited for long already.
             async with asyncio.timeout_at(self._last_at):
                 return _response(await self._broker.serve(request))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -449,7 +449,7 @@
         self.assertEqual((await doomed).status, 502)
         self.assertLess(time.monotonic() - began, 3.7)  # SIGKILL comes no sooner
         self.assertEqual(await self.program.end(signal.SIGCONT), 0)
-        self.assertIn("event=counters why=exit", "".join(self.program.lines))
+        self.assertRegex("".join(self.program.lines), "event=counters why=exit .*requests.stopping=[1-9]")
 
 
 class Configuration(unittest.IsolatedAsyncioTestCase):
