Keep a connection's state once, and one error for what a client is answered

Read again, nothing new is done: Room.move searched all five states at each step though a connection can hold its own, which _busy repeated; BadRequestError and HeadError were the same class (now BadMessageError); every start told the module its settings a second time; Room began with limits that were replaced at once.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -160,9 +160,10 @@
 
     async def start() -> None:
         if platform is not None:
-            service = await platform_service(platform)
-            if service.configure is not None:
-                service.configure(platform)  # it may be a newer one than the start began with
+            begun = platform
+            service = await platform_service(begun)
+            if platform is not begun and service.configure is not None:
+                service.configure(platform)  # a newer one came meanwhile
             services.append(service)
         if iscsi is not None:
             services.append(await iscsi_service(iscsi))
--- a/lemonridge/net/heads.py
+++ b/lemonridge/net/heads.py
@@ -15,8 +15,8 @@
 _LENGTH = re.compile(rb"[0-9]{1,15}")
 
 
-class HeadError(Exception):
-    """A head that cannot be taken; `status` is the answer to a client."""
+class BadMessageError(Exception):
+    """A message that must not go further; a client is answered with its status."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -32,7 +32,7 @@
     while at < len(head) - 2:
         match = _FIELD.match(head, at)
         if match is None:
-            raise HeadError(400, "a header field cannot be read")
+            raise BadMessageError(400, "a header field cannot be read")
         fields.setdefault(match[1].lower(), []).append(match[2].rstrip(b" \t"))
         at = match.end()
     return fields
@@ -43,7 +43,7 @@
     if told is None:
         return None
     if len(told) != 1 or not _LENGTH.fullmatch(told[0]):
-        raise HeadError(400, "Content-Length must be one plain number")
+        raise BadMessageError(400, "Content-Length must be one plain number")
     return int(told[0])
 
 
@@ -51,16 +51,16 @@
     """The length of a request's body, and its header fields."""
     line = _REQUEST.match(head)
     if line is None:
-        raise HeadError(400, "the request line cannot be read")
+        raise BadMessageError(400, "the request line cannot be read")
     fields = _fields(head, line.end())
     length = _length(fields)
     if b"transfer-encoding" in fields:
         # With both, two programs could see two different requests in the same bytes.
-        raise HeadError(411 if length is None else 400, "a body needs Content-Length, and nothing else")
+        raise BadMessageError(411 if length is None else 400, "a body needs Content-Length, and nothing else")
     if line[3] == b"1" and len(fields.get(b"host", ())) != 1:
-        raise HeadError(400, "one Host is needed")
+        raise BadMessageError(400, "one Host is needed")
     if line[1] not in (b"GET", b"PUT"):
-        raise HeadError(405, "a read is GET and a write is PUT")
+        raise BadMessageError(405, "a read is GET and a write is PUT")
     return length or 0, fields
 
 
@@ -68,9 +68,9 @@
     """The status of an answer, the length of its body (None: not told), and whether it is chunked."""
     line = _STATUS.match(head)
     if line is None:
-        raise HeadError(502, "the status line cannot be read")
+        raise BadMessageError(502, "the status line cannot be read")
     fields = _fields(head, line.end())
     length, coding = _length(fields), fields.get(b"transfer-encoding")
     if coding is not None and (length is not None or [one.lower() for one in coding] != [b"chunked"]):
-        raise HeadError(502, "the framing cannot be read")
+        raise BadMessageError(502, "the framing cannot be read")
     return int(line[1]), length, coding is not None
--- a/lemonridge/net/http_answer.py
+++ b/lemonridge/net/http_answer.py
@@ -51,7 +51,7 @@
             self._head += data
             try:
                 data = self._take_head(self._head)
-            except heads.HeadError as error:
+            except heads.BadMessageError as error:
                 self._spoilt(str(error))
                 return
         if self._left is None:
@@ -73,16 +73,16 @@
                 self._informational += 1
                 continue
             if status < 200:
-                raise heads.HeadError(502, "a protocol that was not asked for")
+                raise heads.BadMessageError(502, "a protocol that was not asked for")
             if status in BODILESS:
                 length = 0
             if (length is None and not chunked) or (length or 0) > BODY_MAX:
-                raise heads.HeadError(502, "a body without a length, or too long")
+                raise heads.BadMessageError(502, "a body without a length, or too long")
             self._head, self._left = None, None if chunked else length
             super().data_received(text)
             return bytes(head)
         if len(head) > heads.HEAD_MAX:
-            raise heads.HeadError(502, "the head is too long")
+            raise heads.BadMessageError(502, "the head is too long")
         return b""
 
     def _spoilt(self, why: str) -> None:
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -50,7 +50,7 @@
         self.clock, self.counters = clock, counters
         self._loop = asyncio.get_running_loop()
         self._states: tuple[dict[Connection, float], ...] = tuple({} for _ in State)
-        self.configure(1024, 1 << 23)
+        self._sockets = self.buffer_max = 0  # until it is configured
         self.buffered = 0
         self._timer = self._loop.call_at(self._loop.time() + SWEEP_S, self._sweep)
 
@@ -63,8 +63,9 @@
 
     def move(self, connection: Connection, state: State | None) -> None:
         """A connection has come to a state; None where it has ended."""
-        for others in self._states:
-            others.pop(connection, None)
+        if connection.state is not None:
+            del self._states[connection.state][connection]
+        connection.state = state
         if state is not None:
             self._states[state][connection] = self._loop.time()
 
@@ -129,7 +130,8 @@
         self._data = bytearray()
         self._searched = 0  # of the data, for the end of a head
         self._need = 0  # the length of the request that has begun, once its head is there
-        self._busy = self._over = self._paused = False
+        self._over = self._paused = False
+        self.state: State | None = None  # the room keeps it
         self.late = late  # it came when the program was to end: it is not kept
         self.arrived_us = 0  # when the first byte of the request came
         self.stuck_at: float | None = None  # since when the client has not taken what is written
@@ -162,11 +164,11 @@
             return
         if not self._data:
             self.arrived_us = self._room.clock.now_us()
-            if self._handler is not None and not self._busy:
+            if self.state is State.IDLE:
                 self._room.move(self, State.PARTIAL)
         self._data += data
         self._room.buffered += len(data)
-        if not self._busy:
+        if self.state is not State.BUSY:
             self._next()
         elif len(self._data) > AHEAD:
             self._paused = True
@@ -174,7 +176,6 @@
 
     def answered(self, keep: bool) -> None:
         """The answer to the open request is written, or can't be."""
-        self._busy = False
         if self._over or not keep:
             self._over = True
             return
@@ -216,7 +217,7 @@
 
     def _next(self) -> None:
         """Hand over the next request, once it is whole."""
-        if self._over or self._busy:
+        if self._over or self.state is State.BUSY:
             return
         if not self._need and not self._head():
             return
@@ -232,7 +233,6 @@
             self._handler = self._server()
             self._by_handler[self._handler] = self
             self._handler.connection_made(self._transport)
-        self._busy = True
         self._room.move(self, State.BUSY)
         self._handler.data_received(message)
 
@@ -252,8 +252,8 @@
             length, fields = heads.request(bytes(self._data[: end + 4]))
             self._need = end + 4 + length
             if length > BODY_MAX:
-                raise heads.HeadError(413, "a body holds 64 KiB at most")
-        except heads.HeadError as error:
+                raise heads.BadMessageError(413, "a body holds 64 KiB at most")
+        except heads.BadMessageError as error:
             self.refuse(error.status, str(error))
             return False
         if fields.get(b"expect") == [b"100-continue"] and len(self._data) < self._need:
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -20,6 +20,7 @@
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Answer, DuplicateError, Kind, Request
 from lemonridge.counters import Counters
+from lemonridge.net.heads import BadMessageError
 from lemonridge.net.http_connection import Connection, Room
 from lemonridge.net.wire import BODY_MAX, Payload
 
@@ -39,14 +40,6 @@
 VALUE = re.compile(r"[\x20-\x7e]{1,256}")
 
 
-class BadRequestError(Exception):
-    """A request that must not go further; answered with its status."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status, self.text = status, text
-
-
 class HttpFront:
     """Serves the platform's clients."""
 
@@ -125,9 +118,9 @@
             # Not by a nearer deadline: the module takes that for a client that has waited for long already.
             async with asyncio.timeout_at(self._last_at):
                 return _response(await self._broker.serve(request))
-        except BadRequestError as error:
+        except BadMessageError as error:
             self._counters["requests.bad"] += 1
-            return web.Response(status=error.status, text=error.text + "\n")
+            return web.Response(status=error.status, text=f"{error}\n")
         except TimeoutError:
             return web.Response(status=502)  # SIGKILL is near, and it may have run
         except DuplicateError:
@@ -144,42 +137,42 @@
         return web.Response(status=200 if up else 503)
 
     async def _parse(self, http: web.BaseRequest, arrived_us: int) -> Request:
-        """A core request, or `BadRequestError`: nothing that is malformed goes any further."""
+        """A core request, or `BadMessageError`: nothing that is malformed goes any further."""
         body = await http.read()  # all of it is there: a connection hands over whole requests only
         headers, platform = http.headers, self._platform
         path = PATH.fullmatch(http.raw_path.partition("?")[0])
         if path is None:
-            raise BadRequestError(404, "the path must be /class/volume/key, the last two as 16 hex digits")
+            raise BadMessageError(404, "the path must be /class/volume/key, the last two as 16 hex digits")
         cls = self._classes.get(path[1])
         if cls is None or _header(headers, "X-Class") != path[1]:
-            raise BadRequestError(400, "the class of the path must be known and stand in X-Class")
+            raise BadMessageError(400, "the class of the path must be known and stand in X-Class")
         plan = self._plans.get(_header(headers, "X-Qos-Policy"))
         if plan is None:
-            raise BadRequestError(400, "unknown X-Qos-Policy")
+            raise BadMessageError(400, "unknown X-Qos-Policy")
         if http.method != ("PUT" if platform.writes[cls] else "GET"):
-            raise BadRequestError(405, "a read is GET and a write is PUT")
+            raise BadMessageError(405, "a read is GET and a write is PUT")
         passed = {"X-Request-Id": _header(headers, "X-Request-Id")}
         if not HEX.fullmatch(passed["X-Request-Id"]):
-            raise BadRequestError(400, "X-Request-Id must be 16 hex digits")
+            raise BadMessageError(400, "X-Request-Id must be 16 hex digits")
         settings = platform.settings
         if settings.classes[cls].semantics is api.Semantics.KEYED:
             passed["Idempotency-Key"] = _header(headers, "Idempotency-Key")
         deadline_ms = DEADLINE.fullmatch(_header(headers, "X-Deadline-Ms"))
         if deadline_ms is None:
-            raise BadRequestError(400, "X-Deadline-Ms must be whole milliseconds")
+            raise BadMessageError(400, "X-Deadline-Ms must be whole milliseconds")
         # No client waits for longer than its class allows, whatever it says: the module plans by that.
         wait_us = min(int(deadline_ms[0]) * 1000, settings.classes[cls].deadline_us)
         placement = PLACEMENT.fullmatch(_header(headers, "X-Placement").replace(" ", ""))
         if placement is None:
-            raise BadRequestError(400, "X-Placement must be units=…,shard=…,hosts=…")
+            raise BadMessageError(400, "X-Placement must be units=…,shard=…,hosts=…")
         units, shard, hosts = float(placement[1]), int(placement[2]), int(placement[3])
         # More than the settings know of would spoil what the module keeps for a volume and its plan.
         if not 0 < units <= (settings.units_top or units) or not 1 <= hosts <= settings.hosts:
-            raise BadRequestError(400, "X-Placement must name some units and hosts, as the settings allow")
+            raise BadMessageError(400, "X-Placement must name some units and hosts, as the settings allow")
         if shard >= (platform.shards or shard + 1):
-            raise BadRequestError(400, "X-Placement names an unknown shard")
+            raise BadMessageError(400, "X-Placement names an unknown shard")
         if body and http.method == "GET":
-            raise BadRequestError(400, "a read has no body")
+            raise BadMessageError(400, "a read has no body")
         return Request(
             shard=shard,
             volume=int(path[2], 16),
@@ -204,7 +197,7 @@
     """The one value of a header; of two, each side could go by another."""
     values = headers.getall(name, [])
     if len(values) != 1 or not VALUE.fullmatch(values[0]):
-        raise BadRequestError(400, f"{name} must stand there once")
+        raise BadMessageError(400, f"{name} must stand there once")
     return values[0]
 
 
