--- a/lemonridge/api.py
+++ b/lemonridge/api.py
@@ -27,7 +27,7 @@
 
 
 class Result(IntEnum):
-    """How an attempt ended."""
+    """How an attempt ended. MOVED: the node said at once that it has the data no longer, and ran nothing."""
 
     OK = 0
     ERROR = 1
@@ -37,6 +37,7 @@
     RESET = 5
     CANCELLED = 6
     MOOT = 7
+    MOVED = 8
 
 
 class Condition(Enum):
@@ -149,6 +150,15 @@
     held: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """The data of a request lies elsewhere now; `shard` None: nobody can say where in time. Without effect
+    while an attempt is out; after one that ended as MOVED it is what the request waits for."""
+
+    request: str
+    shard: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class Gone:
     """The client no longer waits; nothing is owed."""
@@ -187,7 +197,7 @@
     settings: Settings
 
 
-Event = Arrived | Started | Ended | Gone | Woke | Listed | Configured
+Event = Arrived | Started | Ended | Moved | Gone | Woke | Listed | Configured
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -4,73 +4,23 @@
 
 import asyncio
 import logging
-import secrets
 import signal
-from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from lemonridge import api, config
 from lemonridge.config import ConfigError, Platform
 from lemonridge.core.broker import Broker
-from lemonridge.core.clock import Clock
-from lemonridge.core.decider import Decider
-from lemonridge.core.directory import Directory
 from lemonridge.counters import Counters
-from lemonridge.etcd import EtcdSource
-from lemonridge.iscsi.config import Iscsi
-from lemonridge.iscsi.initiator import IscsiNodes
-from lemonridge.iscsi.target import IscsiFront
 from lemonridge.net.discovery import Discovery, MalformedError, listings
 from lemonridge.net.http_front import HttpFront
 from lemonridge.net.http_nodes import HttpNodes
+from lemonridge.service import Service
 
-log = logging.getLogger(__name__)
-
-IDLE_S = 0.005  # how often the end of the last request is looked for, once the program is to end
-
-
-class Front(Protocol):
-    """A front, as the program's end needs it."""
-
-    async def stop(self) -> None: ...
-
-    @property
-    def busy(self) -> bool: ...
-
-
-class Service:
-    """One front with the core and the nodes' side behind it."""
-
-    def __init__(self, name: str, settings: api.Settings, seed: int, counters: Counters) -> None:
-        self.name, self.counters, self.clock = name, counters, Clock(asyncio.get_running_loop())
-        self.decider = Decider(settings, seed, self.clock, self.counters)
-        self.directory = Directory(self.decider)
-        self.decider.relist = self.directory.entries
-        self.front: Front
-        self.close: Callable[[], Awaitable[None]]
-        self.configure: Callable[[Platform], None] | None = None
-        self._watch: asyncio.Task[None] | None = None
+if TYPE_CHECKING:
+    from lemonridge.iscsi.config import Iscsi
 
-    def watch(self, work: Coroutine[None, None, None]) -> None:
-        """Follow a source of the node list, in place of the one before."""
-        if self._watch is not None:
-            self._watch.cancel()
-        self._watch = asyncio.create_task(work)
-
-    def print_counters(self, why: str) -> None:
-        self.counters.print(why, self.name)
-
-    async def stop(self) -> None:
-        """Serve the tail, finish what is held, leave."""
-        log.info("stopping", extra={"front": self.name, "held": self.decider.held})
-        await self.front.stop()
-        while self.decider.held or self.front.busy:
-            await asyncio.sleep(IDLE_S)
-        if self._watch is not None:
-            self._watch.cancel()
-        await self.close()
-        self.print_counters("exit")
+log = logging.getLogger(__name__)
 
 
 async def platform_service(platform: Platform) -> Service:
@@ -109,25 +59,6 @@
     return made
 
 
-async def iscsi_service(config: Iscsi) -> Service:
-    """The iSCSI front of an operator's file: initiators before it, targets behind it."""
-    counters, source = Counters(), None
-    if config.etcd is not None:
-        source = EtcdSource(config.etcd, Random(), counters)
-        config = await source.contracts(config)
-    made = Service("iscsi", config.settings, secrets.randbits(64), counters)
-    if source is not None:
-        made.watch(source.run(made.directory))
-    else:
-        made.directory.take(api.ListKind.WHOLE, list(config.nodes))
-    nodes = IscsiNodes(config, made.directory, made.counters)
-    made.close = nodes.close
-    broker = Broker(made.decider, nodes, made.counters)
-    made.front = front = IscsiFront(config, broker, made.clock, made.counters)
-    await front.start(config.listen)
-    return made
-
-
 async def serve(platform: Platform | None, iscsi: Iscsi | None) -> None:
     """Every front that is configured, until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
@@ -166,6 +97,8 @@
                 service.configure(platform)  # a newer one came meanwhile
             services.append(service)
         if iscsi is not None:
+            from lemonridge.iscsi.service import iscsi_service  # the platform's broker does not load it
+
             services.append(await iscsi_service(iscsi))
 
     loop.add_signal_handler(signal.SIGUSR1, print_counters)
--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -7,14 +7,21 @@
 import os
 import sys
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 from lemonridge import __version__, config, logs
-from lemonridge.iscsi import config as iscsi
+
+if TYPE_CHECKING:
+    from lemonridge.iscsi import config as iscsi
 
 
 def _load(options: argparse.Namespace) -> tuple[config.Platform | None, iscsi.Iscsi | None]:
     """The platform's configuration, unless there is only an operator's file, and that file."""
-    operators = iscsi.load(options.config) if options.config else None
+    operators = None
+    if options.config:
+        from lemonridge.iscsi.config import load  # without a file the schema's library is not loaded
+
+        operators = load(options.config)
     platform = None if operators and "ROUTER_CONFIG" not in os.environ else config.load()
     return platform, operators
 
@@ -41,9 +48,40 @@
     if operators:
         print(f"ok: {operators.target} listens on {operators.listen}, {len(operators.luns)} LUNs, "
               f"{len(operators.nodes)} nodes, {len(operators.plans)} plans")
+        if operators.mapped:
+            extents, etcd = operators.extents, operators.etcd
+            where = f"{len(extents.fixed)} of this file" if extents.fixed else extents.file
+            if where is None and etcd is not None:
+                where = f"etcd {etcd.endpoint}{etcd.prefix}"
+            print(f"ok: extents of LUNs {','.join(map(str, sorted(operators.mapped)))} from {where}, "
+                  f"blocks of {extents.block_bytes}, "
+                  f"reads on a map of {extents.limits.read_age_us / 1e6:g} s at most, "
+                  f"writes of {extents.limits.write_age_us / 1e6:g} s, "
+                  f"kept in {extents.keep or 'no place'}")
+    return 0
+
+
+def _schema(_: argparse.Namespace) -> int:
+    import orjson
+
+    from lemonridge.iscsi.schema import json_schema
+
+    print(orjson.dumps(json_schema(), option=orjson.OPT_INDENT_2).decode())
     return 0
 
 
+def _drill(options: argparse.Namespace) -> int:
+    from lemonridge.lab.command import drill
+
+    return drill(options)
+
+
+def _bench(options: argparse.Namespace) -> int:
+    from lemonridge.lab.command import bench
+
+    return bench(options)
+
+
 def _version(_: argparse.Namespace) -> int:
     print(f"lemonridge {__version__}")
     return 0
@@ -60,6 +98,23 @@
     for command in (serve, check):
         command.add_argument("--config", metavar="FILE", help="an operator's file: the iSCSI front")
     check.set_defaults(run=_check_config)
+    schema = commands.add_parser("schema", help="print the JSON Schema of the operator's file")
+    schema.set_defaults(run=_schema)
+    drill = commands.add_parser("drill", help="rehearse failures against the real program, on loopback")
+    drill.add_argument("name", choices=("extents",))
+    drill.add_argument("--seed", type=int, default=1)
+    drill.add_argument("--seconds", type=float, default=10.0)
+    drill.add_argument("--move-every-ms", type=float, default=250.0, help="0: nothing moves")
+    drill.add_argument("--calm", action="store_true", help="no faults, only moves")
+    drill.add_argument("--mutation", choices=("unchecked",),
+                       help="break a rule on purpose: the drill must fail")
+    drill.add_argument("--json", action="store_true", help="the last line as JSON")
+    drill.set_defaults(run=_drill)
+    bench = commands.add_parser("bench", help="measure a part in one run, against stand-ins on loopback")
+    bench.add_argument("name", choices=("extents",))
+    bench.add_argument("--seed", type=int, default=1)
+    bench.add_argument("--seconds", type=float, default=4.0, help="of each setting")
+    bench.set_defaults(run=_bench)
     version = commands.add_parser("version", help="print the version")
     version.set_defaults(run=_version)
     return top
--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -15,6 +15,7 @@
     Nodes,
     Outcome,
     Request,
+    Routes,
     UnreachedError,
     WithheldError,
 )  # fmt: skip
@@ -22,12 +23,16 @@
 
 log = logging.getLogger(__name__)
 
+# After these the module must hear where the data is: it waits for that, or sent where it was before.
+PLACED = frozenset((api.Result.MOVED, api.Result.MOOT))
+
 
 class Broker:
     """Carries requests: the decider says what to do, the nodes' side does it."""
 
-    def __init__(self, decider: Decider, nodes: Nodes, counters: Counters) -> None:
-        self._decider, self._nodes, self._counters = decider, nodes, counters
+    def __init__(self, decider: Decider, nodes: Nodes, counters: Counters,
+                 routes: Routes | None = None) -> None:
+        self._decider, self._nodes, self._counters, self._routes = decider, nodes, counters, routes
         self._lives: set[asyncio.Task[None]] = set()
         self._idents: set[str] = set()  # of the requests whose life is not over
 
@@ -56,12 +61,16 @@
 
     async def carry(self, mailbox: Mailbox) -> None:
         """One request's life: send where the module says, report each end, until it is over."""
-        number = 0
+        number, request = 0, mailbox.request
+        routes = self._routes if request.route is not None else None
         try:
             self._counters["requests.taken"] += 1
+            if routes is not None:
+                routes.open(request, lambda shard: self._decider.tell(api.Moved(mailbox.name, shard)))
             while (order := await mailbox.next_send()) is not None:
                 sent_us = self._decider.clock.now_us()
-                outcome = await self._attempt(mailbox, Attempt(mailbox.request, number, order.node))
+                relied = request.route.shard if request.route is not None else request.shard
+                outcome = await self._attempt(mailbox, Attempt(request, number, order.node))
                 lag_us = self._decider.clock.now_us() - sent_us
                 if outcome.result is api.Result.OK:
                     mailbox.settle(Answer(Kind.SERVED, outcome.reply))
@@ -69,6 +78,10 @@
                     mailbox.name, number, order.node, outcome.result, lag_us, mailbox.answer.done(),
                     outcome.used, outcome.elsewhere, outcome.held,
                 ))  # fmt: skip
+                if routes is not None and not mailbox.answer.done():
+                    shard = await self._route(mailbox, routes, outcome)
+                    if shard != relied or outcome.result in PLACED:
+                        self._decider.tell(api.Moved(mailbox.name, shard))
                 number += 1
         except Exception:
             log.exception("request failed")
@@ -76,8 +89,21 @@
         finally:
             if mailbox.settle(Answer(Kind.FAILED)):
                 self._decider.tell(api.Gone(mailbox.name))
+            if routes is not None:
+                routes.close(request)
             self._decider.close(mailbox)
-            self._idents.discard(mailbox.request.ident)
+            self._idents.discard(request.ident)
+
+    async def _route(self, mailbox: Mailbox, routes: Routes, outcome: Outcome) -> int | None:
+        """Where the request goes on, if it does: asked after each attempt, since the map may have moved on
+        meanwhile. The wait for news of a move ends with the request's deadline."""
+        if outcome.result is not api.Result.MOVED:
+            return routes.current(mailbox.request)
+        try:
+            async with asyncio.timeout_at(self._decider.clock.loop_time(mailbox.request.deadline_us)):
+                return await routes.reroute(mailbox.request, outcome.reply)
+        except TimeoutError:
+            return None
 
     async def _attempt(self, mailbox: Mailbox, attempt: Attempt) -> Outcome:
         """One attempt, until the request's deadline or until it is called off.
@@ -85,7 +111,10 @@
         What never came to the node cannot have run; what did may have, whatever cut it short.
         """
         mailbox.number, mailbox.cancelled = attempt.number, False
+        route = attempt.request.route
         try:
+            if route is not None:
+                route.flying = True
             at = self._decider.clock.loop_time(mailbox.request.deadline_us)
             async with asyncio.timeout_at(at) as mailbox.scope:
                 outcome = await self._nodes.attempt(attempt)
@@ -101,7 +130,10 @@
         except Exception:
             log.exception("attempt failed")
             outcome = Outcome(api.Result.RESET if attempt.reached else api.Result.UNREACHED)
-        mailbox.scope = None
+        finally:
+            mailbox.scope = None
+            if route is not None:
+                route.flying = False
         self._counters["attempts.sent"] += attempt.reached
         self._counters[f"attempts.{outcome.result.name.lower()}"] += 1
         return outcome
--- a/lemonridge/core/directory.py
+++ b/lemonridge/core/directory.py
@@ -52,6 +52,16 @@
     def entries(self) -> tuple[api.Entry, ...]:
         return tuple(listing.entry for listing in self._nodes.values())
 
+    def shard(self, node: str) -> int | None:
+        """The shard of a node that is listed."""
+        listing = self._nodes.get(node)
+        return None if listing is None else listing.entry.shard
+
+    def shards(self) -> frozenset[int]:
+        """The shards that have a node which may get new work."""
+        return frozenset(one.entry.shard for one in self._nodes.values()
+                         if one.entry.condition is api.Condition.ACTIVE)
+
     def address(self, node: str) -> str | None:
         """Where to send new work for `node`; None where the list forbids it."""
         listing = self._nodes.get(node)
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -9,6 +10,15 @@
 from lemonridge import api
 
 
+class Route(Protocol):
+    """Where a request's data lies, as far as is known; `flying` while an attempt is out on its word."""
+
+    flying: bool
+
+    @property
+    def shard(self) -> int: ...
+
+
 @dataclass(slots=True)
 class Request:
     """What a client asks for. `payload` belongs to the wire that it came by; the core passes it on."""
@@ -23,6 +33,7 @@
     hosts: int
     payload: object
     ident: str = ""  # by which the nodes know it, where its wire has such a thing
+    route: Route | None = None  # where its data may move
 
 
 @dataclass(slots=True)
@@ -37,7 +48,8 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """How an attempt ended; `reply` is the node's answer, in the form of its wire."""
+    """How an attempt ended; `reply` is the node's answer, in the form of its wire, and after MOVED what the
+    node knows of where the data went."""
 
     result: api.Result
     reply: object = None
@@ -80,3 +92,20 @@
     """The side towards the nodes. Makes one attempt; whoever calls it watches the deadline."""
 
     async def attempt(self, attempt: Attempt) -> Outcome: ...
+
+
+class Routes(Protocol):
+    """Knows where data lies. It tells of a move by `told` while no attempt of the request is out."""
+
+    def open(self, request: Request, told: Callable[[int], None]) -> None: ...
+
+    def close(self, request: Request) -> None: ...
+
+    def current(self, request: Request) -> int:
+        """The shard of the request's data as known now."""
+        ...
+
+    async def reroute(self, request: Request, reply: object) -> int | None:
+        """Where to go after a node said that the data is not there; None gives up. It waits for news where
+        there may be some; whoever calls it watches the deadline."""
+        ...
--- /dev/null
+++ b/lemonridge/extents/router.py
@@ -0,0 +1,255 @@
+"""The map in service: the sources feed it, the core asks it, and refreshes go out one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
+
+from lemonridge.core.clock import Clock
+from lemonridge.core.directory import Directory
+from lemonridge.core.model import Request
+from lemonridge.counters import Counters
+from lemonridge.extents import routing
+from lemonridge.extents.map import Builder, Change, Extent, ExtentMap, Fit, MapError
+from lemonridge.extents.refresh import Batch, Refreshes, Spot
+from lemonridge.extents.routing import Decision, Limits, Route, Standing, Told, Verdict
+
+log = logging.getLogger(__name__)
+
+REFRESH_S = 0.5  # for the source's answer to one refresh
+FOREVER_US = 1 << 62
+
+Reader = Callable[[tuple[Spot, ...]], Awaitable[list[Extent]]]
+
+
+class Keeper(Protocol):
+    """Keeps the map where a start finds it."""
+
+    def whole(self, held: ExtentMap) -> None: ...
+
+    def change(self, change: Change) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Router:
+    """Holds the map, and answers where data lies; it is the `Routes` of the core."""
+
+    def __init__(self, limits: Limits, extents_max: int, clock: Clock, directory: Directory,
+                 counters: Counters) -> None:
+        self.limits, self.counters = limits, counters
+        self.map, self.standing = ExtentMap(extents_max), Standing()
+        self.read: Reader | None = None  # how the source is asked about single extents
+        self.keeper: Keeper | None = None
+        self._clock, self._directory = clock, directory
+        self._refreshes = Refreshes()
+        self._waiters: dict[int, asyncio.Future[None]] = {}
+        self._open: dict[Spot, dict[int, tuple[Route, Callable[[int], None]]]] = {}
+        self._news: dict[int, asyncio.Future[None]] = {}  # of the routes that wait, by their identity
+        self._running: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    # What the sources tell
+
+    def whole(self, version: int, extents: Iterable[Extent], confirmed: bool = True) -> bool:
+        """Take a whole map; a malformed one is left out and what is held stays."""
+        builder = self.map.builder()
+        try:
+            for extent in extents:
+                builder.add(extent)
+        except MapError as error:
+            self.refused(version, error)
+            return False
+        return self.take(version, builder, confirmed)
+
+    def refused(self, version: int, error: Exception) -> None:
+        """A whole map that no one can use."""
+        self.counters["map.malformed"] += 1
+        log.error("map refused", extra={"version": version, "error": str(error)})
+
+    def take(self, version: int, builder: Builder, confirmed: bool = True) -> bool:
+        """The same from a builder."""
+        try:
+            self.map.take(version, builder)
+        except MapError as error:
+            self.refused(version, error)
+            return False
+        self.counters["map.whole"] += 1
+        log.info("map taken", extra={"version": version, "extents": len(self.map)})
+        if confirmed:
+            self.confirm()
+            if self.keeper is not None:
+                self.keeper.whole(self.map)
+        for spot in list(self._open):
+            self._tell(spot)
+        return True
+
+    def change(self, change: Change) -> Fit:
+        """Take a change. After a gap, or one that does not fit, the source must bring the whole map."""
+        fit, why = self.map.apply(change)
+        self.counters[f"map.{fit.value}"] += 1
+        if fit is Fit.APPLIED:
+            if self.keeper is not None:
+                self.keeper.change(change)
+            for extent in change.extents:
+                self._tell((extent.volume, extent.first))
+        elif fit is not Fit.STALE:
+            log.warning("change refused", extra={"fit": fit.value, "version": change.version, "error": why})
+        return fit
+
+    def confirm(self, for_ever: bool = False) -> None:
+        """The source has just said that the map is the newest."""
+        self.standing.confirmed = True
+        self.standing.confirmed_us = FOREVER_US if for_ever else self._clock.now_us()
+
+    def trust_kept(self) -> None:
+        """A kept map serves reads, as old as if it had been confirmed at this moment, and no writes."""
+        self.standing.confirmed_us = self._clock.now_us()
+
+    # What the front asks
+
+    def begin(self, volume: int, first: int, length: int, writes: bool) -> list[Route]:
+        """The routes of a command's pieces; RouteError where it cannot be begun now."""
+        return routing.begin(self.map, self.standing, self.limits, volume, first, length, writes,
+                             self._clock.now_us())
+
+    def everywhere(self, volume: int, writes: bool) -> list[int]:
+        """The shards of a command for the whole volume; RouteError as above."""
+        return routing.everywhere(self.map, self.standing, self.limits, volume, writes, self._clock.now_us())
+
+    # What the core asks
+
+    def open(self, request: Request, told: Callable[[int], None]) -> None:
+        route = _route(request)
+        self._open.setdefault((route.piece.volume, route.piece.extent), {})[id(route)] = (route, told)
+
+    def close(self, request: Request) -> None:
+        route = _route(request)
+        spot = (route.piece.volume, route.piece.extent)
+        waiting = self._open.get(spot, {})
+        waiting.pop(id(route), None)
+        if not waiting:
+            self._open.pop(spot, None)
+
+    def current(self, request: Request) -> int:
+        route = _route(request)
+        routing.caught_up(self.map, route)
+        return route.shard
+
+    async def reroute(self, request: Request, reply: object) -> int | None:
+        route = _route(request)
+        told = reply if isinstance(reply, Told) else Told()
+        self.counters["redirects"] += 1
+        decision = routing.redirected(self.map, self.limits, route, told, self._directory.shards())
+        while decision.verdict is Verdict.WAIT:
+            decision = await self._news_of(route, decision)
+        if decision.verdict is Verdict.GIVE_UP:
+            assert decision.cause is not None
+            self.counters[f"routes.{decision.cause.value}"] += 1
+            log.info("route given up", extra={
+                "volume": route.piece.volume, "block": route.piece.first, "cause": decision.cause.value,
+                "version": route.piece.version, "redirects": route.redirects})  # fmt: skip
+            return None
+        self.counters["redirects.ahead"] += route.ahead
+        return route.shard
+
+    async def _news_of(self, route: Route, decision: Decision) -> Decision:
+        """Wait for a refresh, or for the watch to bring the change first, and look again."""
+        news = self._news[id(route)] = asyncio.get_running_loop().create_future()
+        spot = (route.piece.volume, route.piece.extent)
+        try:
+            if decision.pause_us:
+                at = self._clock.loop_time(self._clock.now_us() + decision.pause_us)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout_at(at):
+                        await asyncio.shield(news)
+            if not news.done() and (waiter := self._refresh(spot)) is not None:
+                await asyncio.wait((waiter, news), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            del self._news[id(route)]
+        return routing.refreshed(self.map, self.limits, route)
+
+    def _tell(self, spot: Spot) -> None:
+        """Requests that wait for an extent's old shard go on at its new one at once, and those that wait for
+        news of it look again."""
+        for ident, (route, told) in list(self._open.get(spot, {}).items()):
+            news = self._news.get(ident)
+            if news is not None:
+                if not news.done():
+                    news.set_result(None)
+                continue
+            shard = route.shard
+            if routing.caught_up(self.map, route) and route.shard != shard:
+                self.counters["redirects.queued"] += 1
+                told(route.shard)
+
+    # Refreshes
+
+    def _refresh(self, spot: Spot) -> asyncio.Future[None] | None:
+        """Ends with the first refresh of an extent that begins from now on, good or not; None if there is
+        none to be had."""
+        number = self._refreshes.want(spot) if self.read is not None else None
+        if number is None:
+            self.counters["refreshes.none"] += 1
+            return None
+        waiter = self._waiters.get(number)
+        if waiter is None:
+            waiter = self._waiters[number] = asyncio.get_running_loop().create_future()
+        self.counters["refreshes.wanted"] += 1
+        self._pump()
+        return waiter
+
+    def _pump(self) -> None:
+        """Begin the next refresh, now or when its pause is over."""
+        at = self._refreshes.due()
+        if at is None:
+            return
+        batch = self._refreshes.begin(self._clock.now_us())
+        if batch is not None:
+            self.counters["refreshes"] += 1
+            self._running = asyncio.create_task(self._run(batch))
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(self._clock.loop_time(at) + 0.0005, self._again)
+
+    def _again(self) -> None:
+        self._timer = None
+        self._pump()
+
+    async def _run(self, batch: Batch) -> None:
+        good = False
+        try:
+            assert self.read is not None
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + REFRESH_S):
+                extents = await self.read(batch.spots)
+            good = True
+            for extent in extents:
+                if self.map.merge(extent):
+                    self.counters["refreshes.news"] += 1
+                    self._tell((extent.volume, extent.first))
+        except Exception as error:  # whatever breaks a refresh, its waiters go on
+            self.counters["refreshes.failed"] += 1
+            log.warning("refresh failed", extra={"error": f"{type(error).__name__}: {error}"})
+        finally:
+            number = self._refreshes.ended(self._clock.now_us(), good)
+            waiter = self._waiters.pop(number, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+            self._pump()
+
+    def stop(self) -> None:
+        """The program ends."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._running is not None:
+            self._running.cancel()
+        if self.keeper is not None:
+            self.keeper.close()
+
+
+def _route(request: Request) -> Route:
+    assert isinstance(request.route, Route)
+    return request.route
--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -12,7 +12,8 @@
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
-from lemonridge.iscsi import scsi
+from lemonridge.extents.routing import Route
+from lemonridge.iscsi import scsi, versions
 from lemonridge.iscsi.config import Iscsi
 from lemonridge.iscsi.pdu import (
     FINAL,
@@ -59,23 +60,31 @@
         """Send the command once and wait for its status."""
         command = attempt.request.payload
         assert isinstance(command, scsi.Command)
-        address = self._directory.address(attempt.node)
-        if address is None:
-            raise WithheldError
+        address, route = self._directory.address(attempt.node), attempt.request.route
+        if address is None or (route is not None and self._directory.shard(attempt.node) != route.shard):
+            raise WithheldError  # or the data has moved since the module chose
         session = await self._session(address)
         if self._directory.address(attempt.node) != address:  # the list changed during the login
             raise WithheldError
         if not session.has_room:
             return Outcome(api.Result.FULL)
+        ahs = b""
+        if isinstance(route, Route):
+            if not session.versioned:
+                log.error("node does not check versions", extra={"node": attempt.node})
+                raise UnreachedError
+            ahs = versions.pack_ahs(route.piece.extent, route.piece.version)
         attempt.reached = True  # from here on it may have run: no await stands between this and the write
         try:
-            reply = await session.execute(command)
+            reply = await session.execute(command, ahs)
         except (LostError, ConnectionError):
             return Outcome(api.Result.RESET)
         if reply.status in NEVER_RAN:
             return Outcome(api.Result.FULL)
         if reply.status == scsi.Status.TASK_ABORTED:
             return Outcome(api.Result.ERROR)
+        if ahs and (told := versions.unpack_moved(reply.sense)) is not None:
+            return Outcome(api.Result.MOVED, told)
         return Outcome(api.Result.OK, reply)
 
     async def close(self) -> None:
@@ -111,7 +120,7 @@
             keep_alive(writer)
             session = NodeSession(reader, writer)
             try:
-                await session.login(self._config.initiator, target)
+                await session.login(self._config.initiator, target, bool(self._config.mapped))
             except BaseException:
                 writer.close()
                 raise
@@ -140,6 +149,7 @@
         self._heard, self._used = self._loop.time(), self._loop.time()
         self._receiver: asyncio.Task[None] | None = None
         self.over = False  # takes no new commands
+        self.versioned = False  # runs a command only under the extent's version that it names
 
     @property
     def has_room(self) -> bool:
@@ -150,13 +160,15 @@
     def idle_s(self) -> float:
         return 0.0 if self._flights else self._loop.time() - self._used
 
-    async def login(self, initiator: str, target: str) -> None:
+    async def login(self, initiator: str, target: str, versioned: bool) -> None:
         """Straight into operational negotiation: no authentication, no digests."""
         pairs = [("InitiatorName", initiator), ("TargetName", target), ("SessionType", "Normal"),
                  ("HeaderDigest", "None"), ("DataDigest", "None"), ("ErrorRecoveryLevel", "0"),
                  ("InitialR2T", "Yes"), ("ImmediateData", "Yes"), ("MaxBurstLength", "262144"),
                  ("FirstBurstLength", "65536"), ("MaxRecvDataSegmentLength", str(PORTAL_MAX)),
                  ("MaxConnections", "1"), ("MaxOutstandingR2T", "1")]  # fmt: skip
+        if versioned:
+            pairs.append((versions.KEY, versions.AGREED))
         isid = b"\x80" + next(_isid).to_bytes(5, "big")
         self._write(Pdu(Op.LOGIN, FINAL | 1 << 2 | 3, lun=isid + b"\0\0", tag=0, data=pack_text(pairs),
                         immediate=True), number=True)  # fmt: skip
@@ -173,15 +185,16 @@
         self._burst = max(512, sizes.get("MaxBurstLength", self._burst))
         self._first_burst = sizes.get("FirstBurstLength", self._first_burst)
         self._immediate = told.get("ImmediateData") != "No"
+        self.versioned = told.get(versions.KEY) == versions.AGREED
 
-    async def execute(self, command: scsi.Command) -> scsi.Reply:
+    async def execute(self, command: scsi.Command, ahs: bytes = b"") -> scsi.Reply:
         """Send a command, with as much of its data as goes along; the target asks for the rest."""
         tag, sent = next(self._tags) % NONE, self._loop.time()
         flight = self._flights[tag] = Flight(command, self._loop.create_future())
         data = command.data[: min(self._segment, self._first_burst)] if self._immediate else b""
         flags = FINAL | (0x40 if command.reads else 0) | (0x20 if command.writes else 0) | 1  # simple task
         cdb = [int.from_bytes(command.cdb[n : n + 4], "big") for n in range(0, 16, 4)]
-        self._write(Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(command.lun), tag=tag, data=data,
+        self._write(Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(command.lun), tag=tag, data=data, ahs=ahs,
                         words=[command.length, 0, 0, *cdb]), number=True)  # fmt: skip
         try:
             return await flight.done
--- /dev/null
+++ b/lemonridge/iscsi/mapped.py
@@ -0,0 +1,121 @@
+"""Commands to a LUN whose data lies in extents: what is answered from the map, and what becomes which
+pieces."""
+
+from __future__ import annotations
+
+from lemonridge.core.broker import Broker
+from lemonridge.core.model import Answer, Kind, Request
+from lemonridge.counters import Counters
+from lemonridge.extents.carrier import Carrier
+from lemonridge.extents.joining import Whole
+from lemonridge.extents.router import Router
+from lemonridge.extents.routing import Cause, RouteError
+from lemonridge.iscsi import scsi
+from lemonridge.iscsi.config import READ, WRITE, Iscsi, Lun
+
+
+def _good(reply: object) -> bool:
+    assert isinstance(reply, scsi.Reply)
+    return reply.status == scsi.Status.GOOD
+
+
+def reply_of(answer: Answer) -> scsi.Reply:
+    """Served: the node's own status. Refused: BUSY. Failed: CHECK CONDITION, its effect unknown."""
+    if answer.kind is Kind.SERVED:
+        assert isinstance(answer.reply, scsi.Reply)
+        return answer.reply
+    return scsi.Reply(scsi.Status.BUSY) if answer.kind is Kind.REFUSED else scsi.unreachable()
+
+
+def _length(request: Request) -> int:
+    assert isinstance(request.payload, scsi.Command)
+    return request.payload.length
+
+
+class MappedLuns:
+    """Routes commands by the map."""
+
+    def __init__(self, config: Iscsi, broker: Broker, router: Router, counters: Counters) -> None:
+        self._config, self._router, self._broker, self._counters = config, router, broker, counters
+        self._carrier = Carrier(broker, _good)
+        self._block = config.extents.block_bytes
+
+    def local(self, command: scsi.Command) -> scsi.Reply | None:
+        """The answer that the map alone gives, before any data is asked for."""
+        cdb = command.cdb
+        if cdb[0] == scsi.CAPACITY_10 or (cdb[0] == scsi.SERVICE_IN and cdb[1] & 0x1F == scsi.CAPACITY_16):
+            blocks = self._router.map.blocks(command.lun)
+            if not blocks:
+                return scsi.Reply(scsi.Status.BUSY)
+            return scsi.Reply(scsi.Status.GOOD, scsi.capacity(cdb, blocks, self._block)[: command.length])
+        if cdb[0] not in scsi.BLOCKS:
+            return None
+        first, blocks = scsi.span(cdb)
+        if not blocks:
+            return scsi.Reply(scsi.Status.GOOD)
+        held = self._router.map.blocks(command.lun)
+        if held and first + blocks > held:
+            return scsi.out_of_range()
+        if blocks * self._block > self._config.max_transfer or \
+                (command.writes and blocks * self._block > command.length):
+            return scsi.invalid_field()
+        return None
+
+    async def serve(self, command: scsi.Command, lun: Lun, deadline_us: int) -> scsi.Reply:
+        """Carry a command by the map; what cannot be routed ends at once, and nothing of it ran."""
+        try:
+            if command.cdb[0] in scsi.BLOCKS:
+                return await self._blocks(command, lun, deadline_us)
+            writes = command.cdb[0] in scsi.WRITES
+            shards = self._router.everywhere(command.lun, writes)
+        except RouteError as error:
+            self._counters[f"routes.{error.cause.value}"] += 1
+            return scsi.invalid_field() if error.cause is Cause.PIECES else scsi.Reply(scsi.Status.BUSY)
+        # SYNCHRONIZE CACHE concerns every shard that may hold written blocks: a hand-over makes durable what
+        # it hands over, so that a shard which has just lost an extent owes nothing for it. The other commands
+        # without blocks are answered alike by every node.
+        requests = [self._request(command, lun, shard, deadline_us) for shard in shards]
+        return await self._joined(requests if writes else requests[:1], command, writes)
+
+    async def _blocks(self, command: scsi.Command, lun: Lun, deadline_us: int) -> scsi.Reply:
+        first, blocks = scsi.span(command.cdb)
+        writes, size = command.cdb[0] in scsi.WRITES, self._block
+        requests = []
+        for route in self._router.begin(command.lun, first, blocks, writes):
+            piece, start = route.piece, (route.piece.first - first) * size
+            length = piece.length * size
+            data = command.data[start : start + length] if writes else b""
+            part = scsi.Command(command.lun, scsi.rebase(command.cdb, piece.first, piece.length),
+                                command.reads, command.writes, length, data)
+            request = self._request(part, lun, route.shard, deadline_us)
+            request.route = route
+            requests.append(request)
+        self._counters["pieces"] += len(requests)
+        reply = await self._joined(requests, command, writes)
+        if reply.status == scsi.Status.GOOD:
+            reply.residual = command.length - blocks * size
+        return reply
+
+    async def _joined(self, requests: list[Request], command: scsi.Command, writes: bool) -> scsi.Reply:
+        if len(requests) == 1:
+            return reply_of(await self._broker.serve(requests[0]))
+        joined, answers = await self._carrier.serve(requests, writes)
+        self._counters[f"joined.{joined.whole.value}"] += 1
+        if joined.whole is Whole.SERVED:
+            parts = [reply_of(answer).data for answer in answers if answer is not None]
+            wanted = [_length(piece) if command.reads else 0 for piece in requests]
+            if [len(part) for part in parts] != wanted:  # joined, they would shift what follows
+                return scsi.unreachable()
+            return scsi.Reply(scsi.Status.GOOD, b"".join(parts))
+        if joined.whole is Whole.REPORTED:
+            answer = answers[joined.piece]
+            assert answer is not None
+            return reply_of(answer)
+        return scsi.Reply(scsi.Status.BUSY) if joined.whole is Whole.REFUSED else scsi.unreachable()
+
+    def _request(self, command: scsi.Command, lun: Lun, shard: int, deadline_us: int) -> Request:
+        cls = WRITE if command.cdb[0] in scsi.WRITES else READ
+        hosts = self._config.settings.hosts
+        return Request(shard=shard, volume=lun.lun, deadline_us=deadline_us, key=scsi.block(command.cdb),
+                       cls=cls, plan=lun.plan, units=self._config.units(command.length), hosts=hosts,
+                       payload=command)
--- a/lemonridge/iscsi/pdu.py
+++ b/lemonridge/iscsi/pdu.py
@@ -60,11 +60,13 @@
     words: list[int] = field(default_factory=lambda: [0] * 7)
     data: bytes = b""
     immediate: bool = False
+    ahs: bytes = b""  # additional header segments, whole words
 
     def encode(self) -> bytes:
         first = self.opcode | (0x40 if self.immediate else 0)
-        head = (first, self.flags, self.byte2, self.byte3, len(self.data), self.lun, self.tag)
-        return BHS.pack(*head, *self.words) + self.data + bytes(-len(self.data) % 4)
+        lengths = len(self.ahs) // 4 << 24 | len(self.data)
+        head = (first, self.flags, self.byte2, self.byte3, lengths, self.lun, self.tag)
+        return BHS.pack(*head, *self.words) + self.ahs + self.data + bytes(-len(self.data) % 4)
 
     @property
     def cdb(self) -> bytes:
@@ -78,7 +80,8 @@
     length = lengths & 0xFFFFFF
     if length > data_max:
         raise PduError(PduError.PROTOCOL, f"a data segment of {length} bytes", pdu)
-    await reader.readexactly((lengths >> 24) * 4)  # additional header segments mean nothing here
+    if lengths >> 24:
+        pdu.ahs = await reader.readexactly((lengths >> 24) * 4)
     pdu.data = (await reader.readexactly(length + -length % 4))[:length]
     return pdu
 
--- /dev/null
+++ b/lemonridge/iscsi/schema.py
@@ -0,0 +1,181 @@
+"""The operator's file as a schema: one definition for reading it, for its errors and for `lemonridge schema`.
+
+Each struct is a table; unknown keys are refused by name and every bound stands with its key (msgspec).
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from lemonridge.config import ConfigError
+
+T = TypeVar("T")
+IQN = r"^(iqn\.\d{4}-\d{2}\.[a-z0-9.:-]+|eui\.[0-9A-Fa-f]{16})$"
+
+Name = Annotated[str, Meta(min_length=1, max_length=223)]
+Iqn = Annotated[str, Meta(pattern=IQN, max_length=223)]
+AddressText = Annotated[str, Meta(pattern=r"^.+:\d{1,5}$", description="HOST:PORT")]
+Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$", description="an etcd prefix: it begins and ends with /")]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Whole = Annotated[int, Meta(ge=0, lt=1 << 31)]
+Big = Annotated[int, Meta(ge=0, lt=1 << 62)]
+Figure = Annotated[float, Meta(ge=0, lt=1e12)]
+Positive = Annotated[float, Meta(ge=1, lt=1e12)]
+
+
+
+class FrontTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[iscsi]: the target towards the initiators."""
+
+    listen: AddressText
+    target: Iqn
+    initiators: list[str] = []
+    brokers: Count = 1
+    max_sessions: Count = 64
+    queue_depth: Count = 32
+    max_transfer_kib: Count = 256
+    buffer_mib: Annotated[int, Meta(ge=1, le=65536)] = 48
+    unit_kib: Count = 64
+
+
+class InitiatorTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[initiator]: towards the nodes."""
+
+    name: Iqn
+    connect_timeout_ms: Positive = 250
+    idle_s: Positive = 60
+
+
+class ClassTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[classes.read] and [classes.write]."""
+
+    aim_ms: Positive
+    deadline_ms: Positive
+    worth: Figure = 1.0
+
+
+class ClassesTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    read: ClassTable
+    write: ClassTable
+
+
+class RulesTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[rules]: the figures of the rules on nodes."""
+
+    units_mean: Figure = 1.0
+    cold_units: Figure = 8.0
+    tip_multiple: Figure = 2.5
+    max_attempts: Annotated[int, Meta(ge=1, le=4)] = 4
+    cold_share: Figure = 0.2
+    ramp_s: Figure = 17
+    fall_ms: Figure = 1000
+
+
+class PlanTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[[plan]], and a key plans/NAME of etcd: rates in units a second; a limit of 0 is none."""
+
+    name: Name = ""
+    rate: Figure = 0.0
+    reserve: Figure = 0.0
+    weight: Figure = 1.0
+    limit: Figure = 0.0
+    burst: Figure | None = None
+
+
+class ExtentTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[[lun.extent]], and a key extents/LUN/FIRST of etcd: a run of blocks on one shard."""
+
+    first: Big = 0
+    blocks: Annotated[int, Meta(ge=1, lt=1 << 62)]
+    shard: Whole
+    version: Big = 0
+
+
+class LunTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[[lun]]: a volume, whole on a shard, or in extents that stand here or in the map of `[extents]`."""
+
+    lun: Annotated[int, Meta(ge=0, lt=1 << 14)]
+    plan: str
+    shard: Whole | None = None
+    extents: Literal["map"] | None = None
+    extent: list[ExtentTable] = []
+
+
+class ExtentsTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[extents]: how the map of extents is followed, kept and trusted."""
+
+    block_bytes: Annotated[int, Meta(ge=512, le=65536)] = 512
+    max_extents: Annotated[int, Meta(ge=1, le=4_000_000)] = 1_000_000
+    max_pieces: Annotated[int, Meta(ge=1, le=256)] = 32
+    max_redirects: Annotated[int, Meta(ge=1, le=64)] = 8
+    max_refreshes: Annotated[int, Meta(ge=1, le=12)] = 6
+    read_age_s: Positive = 60
+    write_age_s: Positive = 15
+    page: Annotated[int, Meta(ge=1, le=100_000)] = 2000
+    file: str | None = None
+    keep: str | None = None
+    keep_mib: Annotated[int, Meta(ge=1, le=65536)] = 256
+    keep_age_s: Positive = 3600
+
+
+class NodeTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[[node]], and a key nodes/NAME of etcd."""
+
+    name: Name = ""
+    address: AddressText
+    target: Iqn
+    shard: Whole
+    health: Literal["up", "draining"] = "up"
+    started_ms: Big = 0
+
+
+class EtcdTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[etcd]: the node list, the contracts and the map of extents by etcd's v3 API."""
+
+    endpoint: AddressText
+    prefix: Prefix
+
+
+class OperatorFile(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """The operator's file."""
+
+    iscsi: FrontTable
+    initiator: InitiatorTable
+    classes: ClassesTable
+    rules: RulesTable = field(default_factory=RulesTable)
+    plan: Annotated[list[PlanTable], Meta(min_length=1)]
+    lun: Annotated[list[LunTable], Meta(min_length=1)]
+    node: list[NodeTable] = []
+    etcd: EtcdTable | None = None
+    extents: ExtentsTable = field(default_factory=ExtentsTable)
+
+
+def read(kind: type[T], values: Any, path: str = "") -> T:
+    """Values of a parsed file or key as the struct `kind`; ConfigError names the key by its path."""
+    try:
+        return msgspec.convert(values, kind)
+    except msgspec.ValidationError as error:
+        raise ConfigError(plain(str(error), path)) from None
+
+
+def plain(text: str, path: str = "") -> str:
+    """msgspec's words with the path first: `lun[2].shard: Expected ...`."""
+    words, _, where = text.partition(" - at `")
+    where = where.rstrip("`").removeprefix("key in ").lstrip("$").lstrip(".")
+    where = f"{path}.{where}" if path and where else path or where
+    if words.startswith("Object contains unknown field `"):
+        name = words.split("`")[1]
+        return f"unknown key {where + '.' if where else ''}{name}"
+    if words.startswith("Object missing required field `"):
+        name = words.split("`")[1]
+        return f"{where + '.' if where else ''}{name} is missing"
+    words = words.replace("`", "")
+    return f"{where}: {words[0].lower()}{words[1:]}" if where else words
+
+
+def json_schema() -> dict[str, Any]:
+    """The JSON Schema (2020-12) of the operator's file."""
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", **msgspec.json.schema(OperatorFile)}
--- a/lemonridge/iscsi/scsi.py
+++ b/lemonridge/iscsi/scsi.py
@@ -92,3 +92,39 @@
     if cdb[0] in (0x88, 0x8A):
         return int.from_bytes(cdb[2:10], "big")
     return 0
+
+
+BLOCKS = {0x08: 6, 0x0A: 6, 0x28: 10, 0x2A: 10, 0x88: 16, 0x8A: 16}  # READ and WRITE, by the CDB's length
+SYNCHRONIZE = frozenset((0x35, 0x91))
+CAPACITY_10, SERVICE_IN, CAPACITY_16 = 0x25, 0x9E, 0x10
+
+
+def span(cdb: bytes) -> tuple[int, int]:
+    """First block and number of blocks of a READ or WRITE (SBC-3, sections 5.8 to 5.12 and 5.32 to 5.36)."""
+    size = BLOCKS[cdb[0]]
+    if size == 6:
+        return block(cdb), cdb[4] or 256
+    return block(cdb), int.from_bytes(cdb[7:9] if size == 10 else cdb[10:14], "big")
+
+
+def rebase(cdb: bytes, first: int, blocks: int) -> bytes:
+    """The same READ or WRITE of a part of its blocks."""
+    size = BLOCKS[cdb[0]]
+    if size == 6:
+        made = bytes([cdb[0]]) + first.to_bytes(3, "big") + bytes([blocks & 0xFF, cdb[5]])
+    elif size == 10:
+        made = cdb[:2] + first.to_bytes(4, "big") + cdb[6:7] + blocks.to_bytes(2, "big") + cdb[9:10]
+    else:
+        made = cdb[:2] + first.to_bytes(8, "big") + blocks.to_bytes(4, "big") + cdb[14:16]
+    return made.ljust(16, b"\0")
+
+
+def out_of_range() -> Reply:
+    return check(0x05, 0x21)
+
+
+def capacity(cdb: bytes, blocks: int, block_bytes: int) -> bytes:
+    """READ CAPACITY data (10) or (16): the last block and the block's length."""
+    if cdb[0] == CAPACITY_10:
+        return struct.pack(">II", min(blocks - 1, 0xFFFFFFFF), block_bytes)
+    return struct.pack(">QI20x", blocks - 1, block_bytes)[: int.from_bytes(cdb[10:14], "big")]
--- /dev/null
+++ b/lemonridge/iscsi/service.py
@@ -0,0 +1,92 @@
+"""The iSCSI front with its core, nodes, map and sources, put together."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from random import Random
+
+from lemonridge import api
+from lemonridge.config import ConfigError
+from lemonridge.core.broker import Broker
+from lemonridge.counters import Counters
+from lemonridge.etcd import EtcdSource, Feed, NodesFeed
+from lemonridge.extents.etcd import MapFeed, Refresher
+from lemonridge.extents.file import FileSource
+from lemonridge.extents.router import Router
+from lemonridge.iscsi.config import Iscsi
+from lemonridge.iscsi.initiator import IscsiNodes
+from lemonridge.iscsi.mapped import MappedLuns
+from lemonridge.iscsi.target import IscsiFront
+from lemonridge.service import Service
+
+log = logging.getLogger(__name__)
+
+
+async def iscsi_service(config: Iscsi) -> Service:
+    """The iSCSI front of an operator's file: initiators before it, targets behind it."""
+    counters, source = Counters(), None
+    if config.etcd is not None:
+        source = EtcdSource(config.etcd, Random(), counters, config.extents.page)
+        config = await source.contracts(config)
+    made = Service("iscsi", config.settings, secrets.randbits(64), counters)
+    router = _router(config, made) if config.mapped else None
+    refresher: Refresher | None = None
+    if source is not None:
+        feeds: dict[str, Feed] = {NodesFeed.KIND: NodesFeed(made.directory, counters)}
+        if router is not None and not config.extents.fixed and config.extents.file is None:
+            feeds[MapFeed.KIND] = MapFeed(router, config.mapped)
+            refresher = Refresher(source.client)
+            router.read = refresher.read
+        made.watch(source.run(feeds))
+    else:
+        made.directory.take(api.ListKind.WHOLE, list(config.nodes))
+    nodes = IscsiNodes(config, made.directory, made.counters)
+
+    async def close() -> None:
+        await nodes.close()
+        if router is not None:
+            router.stop()
+        if refresher is not None:
+            await refresher.close()
+
+    made.close = close
+    broker = Broker(made.decider, nodes, made.counters, router)
+    mapped = MappedLuns(config, broker, router, made.counters) if router is not None else None
+    made.front = front = IscsiFront(config, broker, made.clock, made.counters, mapped)
+    await front.start(config.listen)
+    return made
+
+
+def _router(config: Iscsi, made: Service) -> Router:
+    """The map, from the operator's file, a file of its own, or etcd; begun with what was kept, if allowed."""
+    extents = config.extents
+    router = Router(extents.limits, extents.extents_max, made.clock, made.directory, made.counters)
+    if extents.fixed:
+        router.whole(0, extents.fixed)
+        router.confirm(for_ever=True)
+        return router
+    if extents.keep is not None:
+        _kept(extents.keep, extents.keep_bytes, extents.keep_age_us, router)
+    if extents.file is not None:
+        file = FileSource(extents.file, router, config.mapped)
+        router.read = file.read
+        made.watch(file.run(), "map")
+    return router
+
+
+def _kept(path: str, size: int, age_us: int, router: Router) -> None:
+    """Begin with the map on disk: for reads until the source has spoken."""
+    from lemonridge.extents.keep import Background, KeepError, MapKeeper  # only here is LMDB loaded
+
+    try:
+        keeper = MapKeeper(path, size)
+    except (KeepError, OSError) as error:
+        raise ConfigError(f"extents.keep: cannot use {path}: {error}") from None
+    try:
+        version, extents = keeper.load(age_us)
+        if router.whole(version, extents, confirmed=False):
+            router.trust_kept()
+    except KeepError as error:
+        log.info("kept map not used", extra={"path": path, "error": str(error)})
+    router.keeper = Background(keeper)
--- a/lemonridge/iscsi/target.py
+++ b/lemonridge/iscsi/target.py
@@ -9,10 +9,11 @@
 from lemonridge.config import Address
 from lemonridge.core.broker import Broker
 from lemonridge.core.clock import Clock
-from lemonridge.core.model import Answer, Kind, Request
+from lemonridge.core.model import Request
 from lemonridge.counters import Counters
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.config import READ, WRITE, Iscsi
+from lemonridge.iscsi.mapped import MappedLuns, reply_of
 from lemonridge.iscsi.pdu import (
     CONTINUE,
     FINAL,
@@ -77,8 +78,10 @@
 class IscsiFront:
     """Serves initiators."""
 
-    def __init__(self, config: Iscsi, broker: Broker, clock: Clock, counters: Counters) -> None:
+    def __init__(self, config: Iscsi, broker: Broker, clock: Clock, counters: Counters,
+                 mapped: MappedLuns | None = None) -> None:
         self.config, self.broker, self.clock, self.counters = config, broker, clock, counters
+        self.mapped = mapped
         self.sessions: set[Session] = set()
         self.buffered = 0  # bytes of data that commands of all sessions may hold at this moment
         self.stopping = False
@@ -424,7 +427,8 @@
                 or (command.reads and command.writes) or command.length > config.max_transfer \
                 or (command.length and not command.reads and not command.writes):
             return scsi.invalid_field()
-        return None
+        mapped = self.front.mapped
+        return mapped.local(command) if mapped is not None and config.luns[command.lun].mapped else None
 
     async def _life(self, task: Task) -> None:
         """One command: gather its data, have it carried, respond."""
@@ -437,11 +441,15 @@
                 self._respond(task, scsi.data_incomplete())
                 return
             command.data = bytes(task.received)
+            if lun.mapped and front.mapped is not None:
+                self._respond(task, await front.mapped.serve(command, lun, deadline_us))
+                await self.writer.drain()
+                return
             answer = await front.broker.serve(Request(
                 shard=lun.shard, volume=lun.lun, deadline_us=deadline_us, key=scsi.block(command.cdb),
                 cls=cls, plan=lun.plan, units=front.config.units(command.length),
                 hosts=front.config.settings.hosts, payload=command))  # fmt: skip
-            self._respond(task, _reply(answer))
+            self._respond(task, reply_of(answer))
             await self.writer.drain()
         except ConnectionError:
             pass  # the initiator has gone
@@ -522,11 +530,3 @@
     """The parts of a stretch of data that lie in one burst each."""
     cut = (start // burst + 1) * burst
     return [(start, end)] if cut >= end else [(start, cut), *_within(cut, end, burst)]
-
-
-def _reply(answer: Answer) -> scsi.Reply:
-    """Served: the node's own status. Refused: BUSY. Failed: CHECK CONDITION, its effect unknown."""
-    if answer.kind is Kind.SERVED:
-        assert isinstance(answer.reply, scsi.Reply)
-        return answer.reply
-    return scsi.Reply(scsi.Status.BUSY) if answer.kind is Kind.REFUSED else scsi.unreachable()
--- /dev/null
+++ b/lemonridge/lab/initiator.py
@@ -0,0 +1,118 @@
+"""An initiator's session, one connection; every final answer is counted."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+
+from lemonridge.iscsi.pdu import FINAL, Op, Pdu, pack_lun, pack_text, read_pdu
+
+PATIENCE_S = 10.0  # for an answer; nothing waits this long unless the broker fails
+SEGMENT = 8192
+
+
+def cdb(opcode: int, block: int, length: int) -> bytes:
+    """READ or WRITE (10) of `length` bytes in blocks of 512."""
+    return struct.pack(">BBIBHB", opcode, 0, block, 0, length // 512, 0)
+
+
+class Initiator:
+    """Sends commands and keeps what was answered, by task tag."""
+
+    def __init__(self, port: int, segment: int = SEGMENT) -> None:
+        self.port, self.segment, self.tags, self.number = port, segment, 0, 0
+        self.waiting: dict[int, tuple[asyncio.Future[Pdu], bytearray, bytes]] = {}
+        self.answers: dict[int, int] = {}
+        self.other: asyncio.Queue[Pdu] = asyncio.Queue()
+        self.receiver: asyncio.Task[None] | None = None
+
+    async def open(self) -> Initiator:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    def send(self, pdu: Pdu) -> None:
+        """With the next command number."""
+        if pdu.opcode != Op.DATA_OUT:
+            pdu.words[1] = self.number
+            self.number += not pdu.immediate
+        self.writer.write(pdu.encode())
+
+    async def login(self, flags: int = FINAL | 1 << 2 | 3, **keys: str | None) -> Pdu:
+        told: dict[str, str | None] = {
+            "InitiatorName": "iqn.2026-12.org.lemonridge:test",
+            "TargetName": "iqn.2026-12.org.lemonridge:store",
+            "SessionType": "Normal", "MaxRecvDataSegmentLength": str(self.segment), **keys}  # fmt: skip
+        data = pack_text((key, value) for key, value in told.items() if value is not None)
+        self.send(Pdu(Op.LOGIN, flags, lun=b"\x80" + bytes(7), tag=0, immediate=True, data=data))
+        async with asyncio.timeout(PATIENCE_S):
+            return await read_pdu(self.reader)
+
+    async def start(self) -> Initiator:
+        await self.open()
+        answer = await self.login()
+        if answer.words[4]:
+            raise ConnectionError(f"login refused with {answer.words[4] >> 16:#06x}")
+        self.receiver = asyncio.create_task(self._receive())
+        return self
+
+    async def _receive(self) -> None:
+        try:
+            while True:
+                pdu = await read_pdu(self.reader)
+                if pdu.opcode == Op.DATA_IN:
+                    self.waiting[pdu.tag][1].extend(pdu.data)
+                elif pdu.opcode == Op.R2T:
+                    self._data_out(pdu)
+                elif pdu.opcode == Op.SCSI_RESPONSE:
+                    self.answers[pdu.tag] = self.answers.get(pdu.tag, 0) + 1
+                    if not self.waiting[pdu.tag][0].done():
+                        self.waiting[pdu.tag][0].set_result(pdu)
+                else:
+                    self.other.put_nowait(pdu)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            for future, _, _ in self.waiting.values():
+                if not future.done():
+                    future.set_exception(ConnectionResetError())
+            self.other.put_nowait(Pdu(Op.ASYNC, tag=0))
+
+    def _data_out(self, pdu: Pdu) -> None:
+        start, length = pdu.words[5:7]
+        data = self.waiting[pdu.tag][2]
+        for count, at in enumerate(range(start, start + length, 8192)):
+            end = min(at + 8192, start + length)
+            flags = FINAL if end == start + length else 0
+            self.send(Pdu(Op.DATA_OUT, flags, lun=pdu.lun, tag=pdu.tag, data=data[at:end],
+                          words=[pdu.words[0], 0, 0, 0, count, at, 0]))  # fmt: skip
+
+    def command(self, cdb: bytes, read: int = 0, data: bytes = b"", lun: int = 0) -> int:
+        """Send a command; the first half of a write's data goes along, up to 4096 bytes."""
+        self.tags += 1
+        along = data[: min(4096, len(data) // 2)]
+        words = list(struct.unpack(">4I", cdb.ljust(16, b"\0")))
+        flags = FINAL | (0x40 if read else 0) | (0x20 if data else 0)
+        self.waiting[self.tags] = (asyncio.get_running_loop().create_future(), bytearray(), data)
+        self.send(Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(lun), tag=self.tags, data=along,
+                      words=[read or len(data), 0, 0, *words]))  # fmt: skip
+        return self.tags
+
+    async def answer(self, tag: int) -> tuple[int, bytes, bytes]:
+        """Status, data and sense of a command."""
+        async with asyncio.timeout(PATIENCE_S):
+            pdu = await self.waiting[tag][0]
+        return pdu.byte3, bytes(self.waiting[tag][1]), pdu.data[2:]
+
+    async def read(self, block: int, length: int, lun: int = 0) -> tuple[int, bytes, bytes]:
+        return await self.answer(self.command(cdb(0x28, block, length), read=length, lun=lun))
+
+    async def write(self, block: int, data: bytes, lun: int = 0) -> tuple[int, bytes, bytes]:
+        return await self.answer(self.command(cdb(0x2A, block, len(data)), data=data, lun=lun))
+
+    def forget(self, tag: int) -> None:
+        """Give up a command's data; a second answer to it would still be counted."""
+        future, _, _ = self.waiting[tag]
+        self.waiting[tag] = (future, bytearray(), b"")
+
+    def close(self) -> None:
+        if self.receiver is not None:
+            self.receiver.cancel()
+        self.writer.close()
--- /dev/null
+++ b/lemonridge/lab/program.py
@@ -0,0 +1,73 @@
+"""The real program as a process, with its log read line by line."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+
+START_S, END_S = 15.0, 15.0
+
+
+class ProgramError(Exception):
+    """The program did not start, or not end, as it should."""
+
+
+class Program:
+    """One broker. `heard` gets every log line as a dictionary of its keys, with the time of its arrival."""
+
+    def __init__(self, *arguments: str) -> None:
+        self._arguments = arguments
+        self.heard: list[Callable[[float, dict[str, str]], None]] = []
+        self.counts: dict[str, int] = {}
+        self.last: list[str] = []
+        self._listening: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    async def start(self) -> int:
+        """The port that it listens on."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lemonridge", *self._arguments, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"})  # fmt: skip
+        self._reader = asyncio.create_task(self._read())
+        async with asyncio.timeout_at(asyncio.get_running_loop().time() + START_S):
+            return await self._listening
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        while text := (await self.process.stderr.readline()).decode():
+            self.last = [*self.last[-30:], text]
+            pairs = dict(pair.partition("=")[::2] for pair in text.split())
+            for hear in self.heard:
+                hear(asyncio.get_running_loop().time(), pairs)
+            if pairs.get("event") == "counters":
+                self.counts = {name: int(value) for name, value in pairs.items() if value.isdigit()}
+            if pairs.get("event") == "listening" and not self._listening.done():
+                self._listening.set_result(int(pairs["address"].rpartition(":")[2]))
+        if not self._listening.done():
+            self._listening.set_exception(ProgramError("".join(self.last)))
+
+    @property
+    def cpu_s(self) -> float:
+        """User and system time so far, by /proc/PID/stat; 0 where there is none."""
+        try:
+            with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+                fields = file.read().rpartition(")")[2].split()
+        except OSError:
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    async def stop(self) -> None:
+        """SIGTERM; ProgramError if it does not end with 0."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + END_S):
+                status = await self.process.wait()
+                await self._reader
+        except TimeoutError:
+            self.process.kill()
+            raise ProgramError(f"it did not end in {END_S:g} s") from None
+        if status:
+            raise ProgramError(f"it ended with {status}: {''.join(self.last)}")
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -17,7 +17,7 @@
 
 from lemonridge.api import (
     Action, Arrived, Cancel, ClassInfo, Condition, Configured, Ended, Entry, Event, Fail, Gone, Group, Listed,
-    ListKind, Plan, Refuse, Result, Semantics, Send, Settings, Started, Subscribe, Wake,
+    ListKind, Moved, Plan, Refuse, Result, Semantics, Send, Settings, Started, Subscribe, Wake,
 )  # fmt: skip
 
 # Tuned values; each says what it trades. None belongs to one deployment.
@@ -46,7 +46,7 @@
 EPSILON = 1e-6  # keeps sums of fractions below a limit that must not be passed
 
 _tag, _due, _worth = attrgetter("tag"), attrgetter("due"), attrgetter("cls.worth")
-UNRUN = frozenset((Result.FULL, Result.UNREACHED, Result.MOOT))  # these prove that it never ran
+UNRUN = frozenset((Result.FULL, Result.UNREACHED, Result.MOOT, Result.MOVED))  # these prove that it never ran
 UNSURE = frozenset((Result.TIMEOUT, Result.RESET, Result.CANCELLED))  # it may be running still
 
 
@@ -196,6 +196,8 @@
                 started = self.requests.get(event.request)
                 if started:
                     started.started = True
+            elif isinstance(event, Moved):
+                self._moved(event)
             elif isinstance(event, Configured):
                 self._configured(event.settings)
         if self.wake_us is not None and self.wake_us <= now_us:
@@ -296,7 +298,7 @@
             self._finish(r)
         elif r.done:
             self._free_key(r)
-        else:
+        elif event.result is not Result.MOVED:  # it waits for `Moved`, or for its deadline
             self._again(r, event.result)
         if node.condition is Condition.LEFT and not node.open:
             self.nodes.pop(node.id, None)
@@ -315,7 +317,7 @@
         cut = event.result in (Result.FULL, Result.TIMEOUT)
         if event.result is Result.RESET:
             node.quiet_us = self.now if node.open else None
-        if event.result in (Result.OK, Result.ERROR, Result.FULL):
+        if event.result in (Result.OK, Result.ERROR, Result.FULL, Result.MOVED):
             node.quiet_us, node.heard_us = self.now if node.open else None, self.now
             if node.unreached and self.now - node.down_us >= DOWN_US:
                 self._chill(node, self.now)  # down, then up: it restarted unseen and is cold
@@ -370,6 +372,14 @@
         else:
             self._give_up(r)
 
+    def _moved(self, event: Moved) -> None:
+        """Go on where the data went, within the same attempts; give up where that is not known."""
+        r = self.requests.get(event.request)
+        if r and r.open is None:
+            self._dequeue(r)
+            r.shard = r.shard if event.shard is None else event.shard
+            self._enqueue(r) if event.shard is not None and self._may_send(r, None) else self._give_up(r)
+
     # What a request may still do: the one place for effects, budget and further attempts
 
     def _may_send(self, r: Request, node: Node | None) -> bool:
@@ -721,7 +731,7 @@
             elif isinstance(what, Request) and not what.done:
                 if kind == "deadline" and not what.started:
                     self._give_up(what)
-                elif kind == "retry":
+                elif kind == "retry" and not what.queued and what.open is None:  # or it has moved since
                     self._enqueue(what)
 
     def _sweep(self) -> None:
--- /dev/null
+++ b/lemonridge/service.py
@@ -0,0 +1,63 @@
+"""One front with the core and the nodes' side behind it, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Protocol
+
+from lemonridge import api
+from lemonridge.config import Platform
+from lemonridge.core.clock import Clock
+from lemonridge.core.decider import Decider
+from lemonridge.core.directory import Directory
+from lemonridge.counters import Counters
+
+log = logging.getLogger(__name__)
+
+IDLE_S = 0.005  # how often the end of the last request is looked for, once the program is to end
+
+
+class Front(Protocol):
+    """A front, as the program's end needs it."""
+
+    async def stop(self) -> None: ...
+
+    @property
+    def busy(self) -> bool: ...
+
+
+class Service:
+    """One front with the core and the nodes' side behind it."""
+
+    def __init__(self, name: str, settings: api.Settings, seed: int, counters: Counters) -> None:
+        self.name, self.counters, self.clock = name, counters, Clock(asyncio.get_running_loop())
+        self.decider = Decider(settings, seed, self.clock, self.counters)
+        self.directory = Directory(self.decider)
+        self.decider.relist = self.directory.entries
+        self.front: Front
+        self.close: Callable[[], Awaitable[None]]
+        self.configure: Callable[[Platform], None] | None = None
+        self._watches: dict[str, asyncio.Task[None]] = {}
+
+    def watch(self, work: Coroutine[None, None, None], what: str = "nodes") -> None:
+        """Follow a source, in place of the one before of the same."""
+        before = self._watches.get(what)
+        if before is not None:
+            before.cancel()
+        self._watches[what] = asyncio.create_task(work)
+
+    def print_counters(self, why: str) -> None:
+        self.counters.print(why, self.name)
+
+    async def stop(self) -> None:
+        """Serve the tail, finish what is held, leave."""
+        log.info("stopping", extra={"front": self.name, "held": self.decider.held})
+        await self.front.stop()
+        while self.decider.held or self.front.busy:
+            await asyncio.sleep(IDLE_S)
+        for watch in self._watches.values():
+            watch.cancel()
+        await self.close()
+        self.print_counters("exit")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import copy
 import json
 import os
@@ -18,7 +17,11 @@
 from pathlib import Path
 from typing import Any
 
-from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu, pack_lun, pack_text, read_pdu
+from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu, pack_text, read_pdu
+from lemonridge.lab.etcd import Etcd
+from lemonridge.lab.initiator import Initiator, cdb
+
+__all__ = ["Etcd", "Initiator", "cdb"]
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 10.0  # for anything that a test waits for; nothing waits this long unless it fails
@@ -283,68 +286,6 @@
         return client
 
 
-class Etcd(Server):
-    """A stand-in for etcd's JSON gateway: ranges, and watches whose stream is cut into small chunks."""
-
-    def __init__(self) -> None:
-        super().__init__(type(self)._answer)
-        self.revision, self.compacted, self.chunk = 1, 0, 7
-        self.rows: dict[str, dict[str, Any]] = {}
-        self.log: list[tuple[int, dict[str, Any]]] = []
-        self.streams: set[asyncio.StreamWriter] = set()
-
-    def put(self, key: str, value: Any) -> None:
-        self.rows[key] = {"key": _b64(key), "value": _b64(json.dumps(value))}
-        self._event({"kv": self.rows[key]})  # the gateway leaves out a type of PUT
-
-    def delete(self, key: str) -> None:
-        del self.rows[key]
-        self._event({"type": "DELETE", "kv": {"key": _b64(key)}})
-
-    def compact(self) -> None:
-        self.compacted, self.log = self.revision, []
-
-    def _event(self, event: dict[str, Any]) -> None:
-        self.revision += 1
-        self.log.append((self.revision, event))
-        for writer in self.streams:
-            self._say(writer, {"events": [event]})
-
-    def _say(self, writer: asyncio.StreamWriter, result: dict[str, Any]) -> None:
-        result = {"header": {"revision": str(self.revision)}, **result}
-        text = json.dumps({"result": result}).encode() + b"\n"
-        for at in range(0, len(text), self.chunk):
-            part = text[at : at + self.chunk]
-            writer.write(f"{len(part):x}\r\n".encode() + part + b"\r\n")
-
-    async def _answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
-        asked = json.loads(message.body)
-        if "/kv/range" in message.start:
-            told = {"header": {"revision": str(self.revision)}, "kvs": list(self.rows.values())}
-            reply(writer, json.dumps(told).encode())
-            return
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        start = int(asked["create_request"]["start_revision"])
-        self._say(writer, {"created": True})
-        if start <= self.compacted:
-            self._say(writer, {"canceled": True, "compact_revision": str(self.compacted)})
-            return
-        for revision, event in self.log:
-            if revision >= start:
-                self._say(writer, {"events": [event]})
-        self.streams.add(writer)
-
-    def cut(self) -> None:
-        """Break every watch."""
-        for writer in self.streams:
-            reset(writer)
-        self.streams.clear()
-
-
-def _b64(text: str) -> str:
-    return base64.b64encode(text.encode()).decode()
-
-
 class Target:
     """A stand-in for a node's iSCSI target. It records each command that begins and how it ended."""
 
@@ -465,97 +406,6 @@
         self._send(writer, numbers, Pdu(Op.SCSI_RESPONSE, tag=pdu.tag))
 
 
-def cdb(opcode: int, block: int, length: int) -> bytes:
-    """READ or WRITE (10)."""
-    return struct.pack(">BBIBHB", opcode, 0, block, 0, length // 512, 0)
-
-
-class Initiator:
-    """An initiator's session; every final answer is counted."""
-
-    def __init__(self, port: int) -> None:
-        self.port, self.tags, self.number = port, 0, 0
-        self.waiting: dict[int, tuple[asyncio.Future[Pdu], bytearray, bytes]] = {}
-        self.answers: dict[int, int] = {}
-        self.other: asyncio.Queue[Pdu] = asyncio.Queue()
-
-    async def open(self) -> Initiator:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
-        return self
-
-    def send(self, pdu: Pdu) -> None:
-        """With the next command number."""
-        if pdu.opcode != Op.DATA_OUT:
-            pdu.words[1] = self.number
-            self.number += not pdu.immediate
-        self.writer.write(pdu.encode())
-
-    async def login(self, flags: int = FINAL | 1 << 2 | 3, **keys: str | None) -> Pdu:
-        told: dict[str, str | None] = {
-            "InitiatorName": "iqn.2026-12.org.lemonridge:test",
-            "TargetName": "iqn.2026-12.org.lemonridge:store",
-            "SessionType": "Normal", "MaxRecvDataSegmentLength": "8192", **keys}
-        data = pack_text((key, value) for key, value in told.items() if value is not None)
-        self.send(Pdu(Op.LOGIN, flags, lun=b"\x80" + bytes(7), tag=0, immediate=True, data=data))
-        async with asyncio.timeout(PATIENCE_S):
-            return await read_pdu(self.reader)
-
-    async def start(self) -> Initiator:
-        await self.open()
-        assert (await self.login()).words[4] == 0
-        self.receiver = asyncio.create_task(self._receive())
-        return self
-
-    async def _receive(self) -> None:
-        try:
-            while True:
-                pdu = await read_pdu(self.reader)
-                if pdu.opcode == Op.DATA_IN:
-                    self.waiting[pdu.tag][1].extend(pdu.data)
-                elif pdu.opcode == Op.R2T:
-                    start, length = pdu.words[5:7]
-                    data = self.waiting[pdu.tag][2]
-                    for count, at in enumerate(range(start, start + length, 8192)):
-                        end = min(at + 8192, start + length)
-                        flags = FINAL if end == start + length else 0
-                        self.send(Pdu(Op.DATA_OUT, flags, lun=pdu.lun, tag=pdu.tag, data=data[at:end],
-                                      words=[pdu.words[0], 0, 0, 0, count, at, 0]))
-                elif pdu.opcode == Op.SCSI_RESPONSE:
-                    self.answers[pdu.tag] = self.answers.get(pdu.tag, 0) + 1
-                    if not self.waiting[pdu.tag][0].done():
-                        self.waiting[pdu.tag][0].set_result(pdu)
-                else:
-                    self.other.put_nowait(pdu)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            for future, _, _ in self.waiting.values():
-                if not future.done():
-                    future.set_exception(ConnectionResetError())
-            self.other.put_nowait(Pdu(Op.ASYNC, tag=0))
-
-    def command(self, cdb: bytes, read: int = 0, data: bytes = b"", lun: int = 0) -> int:
-        """Send a command; the first half of a write's data goes along, up to 4096 bytes."""
-        self.tags += 1
-        along = data[: min(4096, len(data) // 2)]
-        words = struct.unpack(">4I", cdb.ljust(16, b"\0"))
-        flags = FINAL | (0x40 if read else 0) | (0x20 if data else 0)
-        self.waiting[self.tags] = (asyncio.get_running_loop().create_future(), bytearray(), data)
-        self.send(Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(lun), tag=self.tags, data=along,
-                      words=[read or len(data), 0, 0, *words]))
-        return self.tags
-
-    async def answer(self, tag: int) -> tuple[int, bytes, bytes]:
-        """Status, data and sense of a command."""
-        async with asyncio.timeout(PATIENCE_S):
-            pdu = await self.waiting[tag][0]
-        return pdu.byte3, bytes(self.waiting[tag][1]), pdu.data[2:]
-
-    async def read(self, block: int, length: int, lun: int = 0) -> tuple[int, bytes, bytes]:
-        return await self.answer(self.command(cdb(0x28, block, length), read=length, lun=lun))
-
-    async def write(self, block: int, data: bytes, lun: int = 0) -> tuple[int, bytes, bytes]:
-        return await self.answer(self.command(cdb(0x2A, block, len(data)), data=data, lun=lun))
-
-
 class IscsiCase(unittest.IsolatedAsyncioTestCase):
     """One program with the iSCSI front, its node list in etcd, and one target."""
 
@@ -564,6 +414,7 @@
     async def asyncSetUp(self) -> None:
         self.etcd = Etcd()
         await self.etcd.start()
+        self.addAsyncCleanup(self.etcd.stop)
         self.target = await Target().start()
         self.etcd.put("/lr/nodes/n1", self.target.row(0))
         self.etcd.put("/lr/plans/basic", {"rate": 1000, "weight": 1})
@@ -580,7 +431,7 @@
         self.program = await Program().start("serve", "--config", self.config)
         self.addAsyncCleanup(self.program.end, signal.SIGKILL)
         self.port = int((await self.program.line("event=listening")).rsplit(":", 1)[1])
-        await self.etcd.until(lambda: bool(self.etcd.streams))
+        await self.etcd.until(lambda: len(self.etcd.streams) == 2)  # nodes and plans
 
     async def session(self) -> Initiator:
         made = await Initiator(self.port).start()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -148,3 +148,82 @@
         # The real module is in its place now, with the list.
         self.assertEqual((await self.broker.serve(self.request())).kind, Kind.SERVED)
         self.assertEqual(self.counters["decisions.failed"], 1)
+
+    async def moves(self, where: list[int | None]) -> tuple[Kind, list[api.Event]]:
+        """One request whose every attempt but the last meets a move; `where` is what the routes say then."""
+        test = self
+
+        class Way:
+            flying, shard = False, 0
+
+        class Ways:
+            def open(self, request: Request, told: Callable[[int], None]) -> None:
+                test.told = told
+
+            def close(self, request: Request) -> None:
+                test.closed = True
+
+            def current(self, request: Request) -> int:
+                return 0
+
+            async def reroute(self, request: Request, reply: object) -> int | None:
+                test.assertEqual(reply, "elsewhere")
+                await asyncio.sleep(0)
+                return where.pop(0)
+
+        async def elsewhere(attempt: Attempt) -> Outcome:
+            attempt.reached = test.flew = way.flying
+            return Outcome(api.Result.MOVED, "elsewhere") if where else Outcome(api.Result.OK, b"x")
+
+        def react(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Moved):
+                name = event.request
+                return [api.Refuse(name, 0) if event.shard is None else api.Send(name, f"n{event.shard}")]
+            return [api.Send(event.request, "n0")] if isinstance(event, api.Arrived) else []
+
+        way = Way()
+        self.behave, self.policy.react = elsewhere, react
+        broker = Broker(self.decider, self, self.counters, Ways())  # type: ignore[arg-type]
+        request = self.request()
+        request.route = way
+        answer = await broker.serve(request)
+        await self.quiet()
+        self.assertTrue(self.flew and self.closed and not way.flying)
+        return answer.kind, self.policy.of(api.Ended)
+
+    async def test_a_request_whose_data_moved_goes_on_as_one_request(self) -> None:
+        kind, ended = await self.moves([1, 2])
+        self.assertEqual(kind, Kind.SERVED)
+        self.assertEqual([(one.request, one.attempt, one.node, one.result.name) for one in ended], [
+            ("r1", 0, "n0", "MOVED"), ("r1", 1, "n1", "MOVED"), ("r1", 2, "n2", "OK")])
+
+    async def test_a_move_that_leads_nowhere_ends_in_the_modules_word(self) -> None:
+        kind, ended = await self.moves([None])
+        self.assertEqual((kind, len(ended)), (Kind.REFUSED, 1))
+
+    async def test_the_wait_for_news_of_a_move_ends_with_the_deadline(self) -> None:
+        class Silent:
+            def open(self, request: Request, told: Callable[[int], None]) -> None: ...
+
+            def close(self, request: Request) -> None: ...
+
+            async def reroute(self, request: Request, reply: object) -> int | None:
+                await asyncio.Event().wait()
+                raise AssertionError
+
+        class Way:
+            flying, shard = False, 0
+
+        async def gone(attempt: Attempt) -> Outcome:
+            attempt.reached = True
+            return Outcome(api.Result.MOVED)
+
+        self.behave = gone
+        self.policy.react = lambda event: (
+            [api.Send(event.request, "a")] if isinstance(event, api.Arrived)
+            else [api.Refuse(event.request, 0)] if isinstance(event, api.Moved) else [])
+        broker = Broker(self.decider, self, self.counters, Silent())  # type: ignore[arg-type]
+        request = self.request(30_000)
+        request.route = Way()
+        self.assertEqual((await broker.serve(request)).kind, Kind.REFUSED)
+        self.assertEqual([one.shard for one in self.policy.of(api.Moved)], [None])
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 
 from harness import IscsiCase, Program, Target
 
+from lemonridge.lab.etcd import Seen
+
 
 class Following(IscsiCase):
+    def calls(self) -> list[Seen]:
+        """What was asked of the nodes."""
+        told = ((call, call.body.get("create_request", call.body)) for call in self.etcd.seen)
+        return [call for call, body in told if base64.b64decode(body["key"]) == b"/lr/nodes/"]
+
     async def served_by(self, target: Target) -> None:
         """The next read goes to `target`."""
         session = await self.session()
@@ -16,9 +24,9 @@
         self.assertEqual(len(target.begun), before + 1)
 
     async def test_range_then_watch_from_the_next_revision(self) -> None:
-        paths = [message.start.split()[1] for message in self.etcd.seen]
-        self.assertEqual(paths, ["/v3/kv/range", "/v3/kv/range", "/v3/watch"])
-        self.assertIn(f'"start_revision":"{self.etcd.revision + 1}"'.encode(), self.etcd.seen[-1].body)
+        self.assertEqual([call.path for call in self.calls()], ["/v3/kv/range", "/v3/watch"])
+        created = self.calls()[-1].body["create_request"]
+        self.assertEqual(created["start_revision"], str(self.etcd.revision + 1))
         await self.served_by(self.target)
         other = await Target().start()
         self.etcd.put("/lr/nodes/n1", other.row(0))
@@ -34,7 +42,7 @@
         self.etcd.put("/lr/nodes/n1", other.row(0))
         await self.program.line(f":{other.port}/")
         await self.served_by(other)
-        self.assertNotIn("range", self.etcd.seen[-1].start)
+        self.assertEqual([call.path for call in self.calls()][1:], ["/v3/watch", "/v3/watch"])
 
     async def test_after_a_compaction_the_range_is_read_again(self) -> None:
         self.etcd.cut()
@@ -44,8 +52,8 @@
         await self.program.line("compacted")
         await self.program.line(f":{other.port}/")
         await self.served_by(other)
-        await self.etcd.until(lambda: "watch" in self.etcd.seen[-1].start)
-        self.assertIn("range", self.etcd.seen[-2].start)
+        await self.etcd.until(lambda: "watch" in self.calls()[-1].path)
+        self.assertIn("range", self.calls()[-2].path)
 
     async def test_what_cannot_be_read_changes_nothing(self) -> None:
         for value in ([], {"address": "nowhere"}, {**self.target.row(0), "odd": 1}, "x"):
@@ -56,8 +64,7 @@
 
 class Unreachable(IscsiCase):
     async def test_sigterm_ends_a_start_that_waits_for_etcd(self) -> None:
-        self.etcd.listener.close()
-        self.etcd.cut()
+        await self.etcd.stop()
         waiting = await Program().start("serve", "--config", self.config)
         await waiting.line("etcd failed")
         self.assertEqual(await waiting.end(), 0)
--- /dev/null
+++ b/tests/test_extents_sources.py
@@ -0,0 +1,206 @@
+"""What brings the map and what keeps it: etcd's keys, the disk, the operator's file."""
+
+from __future__ import annotations
+
+import tomllib
+import unittest
+from collections.abc import Sequence
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import mock
+
+import msgspec
+
+from lemonridge.cli import main
+from lemonridge.config import ConfigError
+from lemonridge.counters import Counters
+from lemonridge.etcd import Event, OutOfStepError
+from lemonridge.extents.etcd import HEAD, MapFeed, RowError, key_of
+from lemonridge.extents.keep import Background, KeepError, MapKeeper
+from lemonridge.extents.map import Builder, Change, Extent, ExtentMap, Fit
+from lemonridge.iscsi.config import Iscsi, parse
+from lemonridge.iscsi.schema import json_schema
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class Holder:
+    """The router's part that a source needs."""
+
+    def __init__(self) -> None:
+        self.map, self.counters, self.refusals = ExtentMap(100), Counters(), 0
+
+    def take(self, version: int, builder: Builder) -> bool:
+        self.map.take(version, builder)
+        return True
+
+    def refused(self, version: int, error: Exception) -> None:
+        self.refusals += 1
+
+    def change(self, change: Change) -> Fit:
+        return self.map.apply(change)[0]
+
+
+def extent(first: int, shard: int = 0, version: int = 1, revision: int = 5, lun: int = 0) -> Event:
+    value = {"blocks": 10, "shard": shard, "version": version}
+    return Event(key_of(lun, first), msgspec.json.encode(value), revision)
+
+
+def head(version: int, revision: int = 5) -> Event:
+    return Event(HEAD, msgspec.json.encode({"version": version}), revision)
+
+
+class FromEtcd(unittest.TestCase):
+    def setUp(self) -> None:
+        self.holder = Holder()
+        self.feed = MapFeed(self.holder, frozenset((0,)))  # type: ignore[arg-type]
+
+    def whole(self, *pages: Sequence[Event]) -> None:
+        self.feed.begin()
+        for page in pages:
+            self.feed.page(page)
+        self.feed.finish()
+
+    def test_pages_make_one_map_of_the_luns_that_are_served(self) -> None:
+        self.whole([extent(0), extent(10, 1)], [extent(20, 2), extent(0, lun=7), head(4)])
+        self.assertEqual((self.holder.map.version, len(self.holder.map)), (4, 3))
+
+    def test_a_map_that_cannot_be_used_is_left(self) -> None:
+        self.whole([extent(0), head(4)])
+        for rows in ([extent(0)], [extent(10), head(5)], [Event(key_of(0, 0), b"{}", 1), head(5)],
+                     [Event("map/extents/0/7", b"{}", 1), head(5)], [extent(0), Event(HEAD, b"5", 1)]):
+            with self.subTest(rows=rows), self.assertRaises(ValueError):
+                self.whole(rows)
+            self.assertEqual(self.holder.map.version, 4)
+        with self.assertRaises(ValueError):
+            self.whole([extent(n * 10) for n in range(101)])
+        self.assertEqual(self.holder.refusals, 1)
+
+    def test_each_revision_is_a_change_and_what_comes_again_is_no_news(self) -> None:
+        self.whole([extent(0), extent(10), head(4)])
+        events = [extent(0, 3, 2, 6), head(5, 6), extent(10, 3, 2, 7), head(6, 7)]
+        for _ in range(2):
+            self.feed.changes(events)
+            self.assertEqual([one.shard for one in self.holder.map], [3, 3])
+        split = [extent(0, 3, 3, 8), extent(10, 3, 3, 8), extent(20, 1, 1, 8), head(7, 8)]
+        self.feed.changes(split)
+        self.feed.changes([Event(key_of(0, 20), None, 9), head(8, 9)])
+        self.assertEqual((self.holder.map.version, len(self.holder.map)), (8, 2))
+
+    def test_what_does_not_follow_asks_for_the_whole(self) -> None:
+        self.whole([extent(0), extent(10), head(4)])
+        for events in ([extent(0, 3, 2), head(6)], [extent(0, 3, 2)], [Event(HEAD, None, 6)],
+                       [extent(0, 3, 0), head(5)], [Event(key_of(0, 0), None, 6), head(5)],
+                       [Event(key_of(0, 0), b"[]", 6), head(5)]):
+            with self.subTest(events=events), self.assertRaises(OutOfStepError):
+                self.feed.changes(events)
+            self.assertEqual([(one.first, one.shard) for one in self.holder.map], [(0, 0), (10, 0)])
+        self.assertRaises(RowError, self.feed.page, [Event(key_of(0, 0) + "/x", b"{}", 1)])
+
+
+class OnDisk(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = str(Path(folder.name) / "map")
+        self.map = ExtentMap()
+        self.map.whole(7, [Extent(volume, n * 10, 10, n % 4, n) for volume in (0, 3) for n in range(50)])
+
+    def test_what_was_kept_is_found(self) -> None:
+        keeper = Background(MapKeeper(self.path, 1 << 20))
+        keeper.whole(self.map)
+        change = Change(7, 8, (Extent(0, 0, 5, 9, 60), Extent(0, 5, 15, 9, 60)), ((0, 10),))
+        self.assertIs(self.map.apply(change)[0], Fit.APPLIED)
+        keeper.change(change)
+        keeper.close()
+        again = MapKeeper(self.path, 1 << 20)
+        version, extents = again.load(10**9)
+        self.assertEqual((version, extents), (8, sorted(self.map, key=lambda one: (one.volume, one.first))))
+        self.assertRaisesRegex(KeepError, "too old", again.load, -1)
+        with again._store.begin(write=True) as writing:
+            writing.delete(next(iter(writing.cursor()))[0])
+        self.assertRaisesRegex(KeepError, "checksum", again.load, 10**9)
+        again.close()
+
+    def test_nothing_kept_is_said(self) -> None:
+        keeper = MapKeeper(self.path, 1 << 20)
+        self.assertRaisesRegex(KeepError, "no map", keeper.load, 10**9)
+        keeper.close()
+
+    def test_a_full_store_keeps_what_it_has_and_stops(self) -> None:
+        keeper = MapKeeper(self.path, 64 * 1024)
+        keeper.whole(self.map)
+        big = ExtentMap()
+        big.whole(9, [Extent(0, n, 1, 0, 0) for n in range(5000)])
+        with self.assertLogs(level="ERROR"):
+            keeper.whole(big)
+        keeper.change(Change(9, 10, (Extent(0, 0, 1, 1, 1),)))
+        self.assertEqual((keeper.load(10**9)[0], len(keeper.load(10**9)[1])), (7, 100))
+        keeper.close()
+
+    def test_a_slow_disk_is_not_waited_for(self) -> None:
+        class Slow:
+            changes = 0
+
+            def change(self, change: Change) -> None:
+                Slow.changes += 1
+
+            def whole(self, held: ExtentMap) -> None: ...
+
+            def close(self) -> None: ...
+
+        with mock.patch("lemonridge.extents.keep.PENDING_MAX", 3), self.assertLogs(level="ERROR"):
+            keeper = Background(Slow())  # type: ignore[arg-type]
+            keeper._pending = 3
+            for _ in range(5):
+                keeper.change(Change(0, 1, ()))
+            keeper._pending = 0
+            keeper.change(Change(0, 1, ()))  # something was lost: nothing more before a whole map
+            keeper.whole(self.map)
+            keeper.change(Change(0, 1, ()))
+            keeper.close()
+        self.assertEqual(Slow.changes, 1)
+
+
+class InTheFile(unittest.TestCase):
+    def read(self, text: str) -> Iscsi:
+        return parse(tomllib.loads(text))
+
+    def test_the_shipped_files_are_good(self) -> None:
+        text = (ROOT / "deploy" / "extents.toml").read_text()
+        made = self.read(text)
+        self.assertEqual((made.mapped, made.extents.limits.pieces), (frozenset((0,)), 32))
+        kept = self.read("\n".join(line.removeprefix("# ") if line.startswith("# keep") else line
+                                   for line in text.splitlines()))
+        self.assertEqual((kept.extents.keep, kept.extents.keep_bytes), ("/var/lib/lemonridge/map", 256 << 20))
+
+    def test_what_is_wrong_is_said_by_its_key(self) -> None:
+        text = (ROOT / "deploy" / "extents.toml").read_text()
+        tables = "[[lun.extent]]\nfirst = {}\nblocks = 5\nshard = 0\n"
+        for old, new, word in (
+            ('extents = "map" ', 'extents = "mop" ', "lun[0].extents"),
+            ('extents = "map" ', 'shard = 1\nextents = "map" ', "lun[0]: one of"),
+            ('extents = "map" ', "# ", "lun[0]: one of"), ("max_pieces", "max_piece", "extents.max_piece"),
+            ("block_bytes = 512", "block_bytes = 700", "multiple of 512"),
+            ("write_age_s = 15", "write_age_s = 0", "extents.write_age_s"),
+            ('extents = "map" ', tables.format(5) + "# ", "block 0: a hole"),
+            ('extents = "map" ', tables.format(0) + tables.format(4) + "# ", "block 4: an overlap"),
+            ('[etcd]\nendpoint = "127.0.0.1:2379"\nprefix = "/lemonridge/" ', "# ", "neither"),
+            ('prefix = "/lemonridge/" ', 'prefix = "x" ', "etcd.prefix"),
+        ):  # fmt: skip
+            with self.subTest(word=word), self.assertRaises(ConfigError) as caught:
+                self.assertIn(old, text)
+                self.read(text.replace(old, new))
+            self.assertIn(word, str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+
+    def test_the_schema_knows_every_table(self) -> None:
+        told = json_schema()
+        tables = told["$defs"]["OperatorFile"]["properties"]
+        known = {"iscsi", "initiator", "classes", "rules", "plan", "lun", "node", "etcd", "extents"}
+        self.assertEqual(set(tables), known)
+        self.assertFalse(told["$defs"]["LunTable"]["additionalProperties"])
+        with mock.patch("builtins.print") as printed:
+            self.assertEqual(main(["schema"]), 0)
+            self.assertEqual(main(["check-config", "--config", str(ROOT / "deploy" / "extents.toml")]), 0)
+        self.assertIn("from etcd 127.0.0.1:2379/lemonridge/", printed.call_args_list[-1].args[0])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -700,3 +700,52 @@
     rig.end(name, Result.RESET, node=first)
     again = [action for action in rig.pass_time(200_000) if isinstance(action, api.Send)]
     assert [action.node for action in again] == [first]
+
+
+# Data that moves
+
+
+def test_a_moved_request_waits_for_its_shard_and_goes_on_there(rig):
+    """Under the same id, deadline and attempts; the node that said so was heard and is not cut."""
+    request = rig.ask(cls=2)
+    window = rig.policy.nodes["a"].window
+    assert rig.end(request, api.Result.MOVED, lag=400_000) is not None and not rig.sent()
+    rig.pass_time(100_000)
+    node = rig.policy.nodes["a"]
+    assert not rig.sent() and node.window == window and node.quiet_us is None
+    assert rig.do(api.Moved(request, 1)) == [api.Send(request, "b")]
+    # A write of the class once: it may have run.
+    assert finals(rig.end(request, api.Result.RESET, node="b")) == {request: api.Fail}
+
+
+def test_a_move_that_nobody_can_place_is_refused_at_once(rig):
+    request = rig.ask(cls=2)
+    rig.end(request, api.Result.MOVED)
+    assert finals(rig.do(api.Moved(request, None))) == {request: api.Refuse}
+    assert rig.do(api.Moved(request, 1)) == []
+
+
+def test_moves_keep_to_the_attempts(rig):
+    request = rig.ask()
+    for shard in (1, 0):
+        rig.end(request, api.Result.MOVED, node="b" if shard == 0 else "a")
+        assert rig.do(api.Moved(request, shard))
+    rig.end(request, api.Result.MOVED)
+    assert finals(rig.do(api.Moved(request, 1))) == {request: api.Refuse}
+
+
+def test_a_request_that_waits_is_taken_to_its_new_shard(rig):
+    """Queued where no node is, or between two attempts; its old timer does not send it a second time."""
+    request = rig.ask(shard=5)
+    assert not rig.sent()
+    assert rig.do(api.Moved(request, 1)) == [api.Send(request, "b")]
+    assert rig.do(api.Moved(request, 0)) == []  # an attempt is out
+    rig.end(request, api.Result.FULL, node="b")
+    assert rig.do(api.Moved(request, 0)) == [api.Send(request, "a")]
+    assert not sends(rig.pass_time(400_000))
+
+
+def test_a_moved_request_that_hears_nothing_is_refused_at_its_deadline(rig):
+    request = rig.ask(cls=2)
+    rig.end(request, api.Result.MOVED)
+    assert finals(rig.pass_time(2_100_000)) == {request: api.Refuse}
