Give the iSCSI front its sessions, recovery levels, CHAP, digests and a conformance suite

Need: initiators negotiate more than one connection at level 0, and depend on it after a failure.

Change: target.py gives way to rooms: a key table and login machine, CHAP, command windows and kept statuses, transfers, reservations (pure), and portal, connection, session and runner around them. Recovery of level 1 (SNACK, recovery R2Ts, command retry) and 2 (TASK REASSIGN, connection reinstatement) never runs a command twice: its life in the core goes on and its end is kept. The broker itself answers identity, mode pages, persistent reservations, unit attentions and ALUA. The nodes' side negotiates digests and CHAP.

--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -82,6 +82,12 @@
     return bench(options)
 
 
+def _conform(options: argparse.Namespace) -> int:
+    from lemonridge.lab.command import conform
+
+    return conform(options)
+
+
 def _version(_: argparse.Namespace) -> int:
     print(f"lemonridge {__version__}")
     return 0
@@ -101,7 +107,7 @@
     schema = commands.add_parser("schema", help="print the JSON Schema of the operator's file")
     schema.set_defaults(run=_schema)
     drill = commands.add_parser("drill", help="rehearse failures against the real program, on loopback")
-    drill.add_argument("name", choices=("extents",))
+    drill.add_argument("name", choices=("extents", "iscsi"))
     drill.add_argument("--seed", type=int, default=1)
     drill.add_argument("--seconds", type=float, default=10.0)
     drill.add_argument("--move-every-ms", type=float, default=250.0, help="0: nothing moves")
@@ -115,6 +121,13 @@
     bench.add_argument("--seed", type=int, default=1)
     bench.add_argument("--seconds", type=float, default=4.0, help="of each setting")
     bench.set_defaults(run=_bench)
+    conform = commands.add_parser("conform", help="hold a front against its protocol, case by case")
+    conform.add_argument("name", choices=("iscsi",))
+    conform.add_argument("--target", metavar="HOST:PORT", help="one that is there already")
+    conform.add_argument("--case", default="*", metavar="PATTERN", help="which cases, as a file pattern")
+    conform.add_argument("--seed", type=int, default=1)
+    conform.add_argument("--json", action="store_true", help="every result as a line of JSON")
+    conform.set_defaults(run=_conform)
     version = commands.add_parser("version", help="print the version")
     version.set_defaults(run=_version)
     return top
--- a/lemonridge/core/directory.py
+++ b/lemonridge/core/directory.py
@@ -62,6 +62,12 @@
         return frozenset(one.entry.shard for one in self._nodes.values()
                          if one.entry.condition is api.Condition.ACTIVE)
 
+    def serves(self, shard: int) -> api.Condition:
+        """The best condition of a shard's nodes."""
+        found = {one.entry.condition for one in self._nodes.values() if one.entry.shard == shard}
+        return next((one for one in (api.Condition.ACTIVE, api.Condition.LEAVING) if one in found),
+                    api.Condition.LEFT)
+
     def address(self, node: str) -> str | None:
         """Where to send new work for `node`; None where the list forbids it."""
         listing = self._nodes.get(node)
--- a/lemonridge/iscsi/config.py
+++ b/lemonridge/iscsi/config.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import os
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -18,6 +19,9 @@
 from lemonridge.core.directory import Listing
 from lemonridge.extents.map import Extent, ExtentMap, MapError
 from lemonridge.extents.routing import Limits
+from lemonridge.iscsi.chap import Account
+from lemonridge.iscsi.keys import Wishes
+from lemonridge.iscsi.login import TargetRule
 from lemonridge.iscsi.schema import (
     ClassTable,
     ExtentsTable,
@@ -25,6 +29,7 @@
     NodeTable,
     OperatorFile,
     PlanTable,
+    SecretsFile,
     read,
 )  # fmt: skip
 
@@ -88,6 +93,15 @@
     nodes: tuple[Listing, ...]
     etcd: Etcd | None
     extents: Extents
+    targets: dict[str, TargetRule]
+    wishes: Wishes
+    max_connections: int
+    statuses: int
+    ping_s: float
+    login_failures: int
+    power_on_attention: bool
+    node_wishes: Wishes
+    node_account: Account | None
 
     def units(self, length: int) -> float:
         """The size of a transfer, in units of the contracts."""
@@ -133,6 +147,14 @@
         raise ConfigError("lun.extents: neither etcd nor extents.file says where the map is")
     if fixed and (extents.file or any(row.extents for row in told.lun)):
         raise ConfigError("lun.extent: the map stands in this file or elsewhere, not both")
+    accounts = _secrets(front.secrets)
+    targets = {name: _target(name, initiators, chap, accounts, path) for name, initiators, chap, path in (
+        (front.target, front.initiators, front.chap, "iscsi"),
+        *((row.name, row.initiators, row.chap, f"target[{number}]")
+          for number, row in enumerate(told.target)),
+    )}  # fmt: skip
+    if len(targets) != 1 + len(told.target):
+        raise ConfigError("two targets have one name")
     max_transfer, unit_bytes = front.max_transfer_kib * 1024, front.unit_kib * 1024
     return Iscsi(
         listen=Address.parse(front.listen, "iscsi.listen"),
@@ -177,9 +199,56 @@
         nodes=tuple(listing(row, f"node[{number}]") for number, row in enumerate(told.node)),
         etcd=etcd,
         extents=_extents(extents, fixed),
+        targets=targets,
+        wishes=Wishes(
+            digests=front.digests, max_connections=front.connections, initial_r2t=front.initial_r2t,
+            max_burst=front.max_burst_kib * 1024, first_burst=front.first_burst_kib * 1024,
+            time2wait=front.time2wait_s, time2retain=front.time2retain_s, max_r2t=front.max_r2t,
+            recovery=front.recovery_level),
+        max_connections=front.max_connections,
+        statuses=front.statuses_kept,
+        ping_s=front.ping_s,
+        login_failures=front.login_failures,
+        power_on_attention=front.power_on_attention,
+        node_wishes=Wishes(digests=told.initiator.digests, initial_r2t=True),
+        node_account=(_account(accounts, told.initiator.chap, "initiator.chap")
+                      if told.initiator.chap else None),
     )
 
 
+def _secrets(path: str | None) -> dict[str, Account]:
+    """The file of secrets; ConfigError if others may read it, or one secret serves both directions."""
+    if path is None:
+        return {}
+    try:
+        if os.stat(path).st_mode & 0o007:
+            raise ConfigError(f"iscsi.secrets: {path} is open to others")
+        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"iscsi.secrets: cannot read {path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError):
+        raise ConfigError(f"iscsi.secrets: {path} is not TOML") from None  # its text is not for a log
+    accounts: dict[str, Account] = {}
+    for row in read(SecretsFile, values, "secrets").account:
+        if row.own_secret and (row.own_secret == row.secret or len(row.own_secret) < 12 or not row.own_name):
+            raise ConfigError(f"secrets: own_secret of {row.name} must be of its own, of 12 bytes or more, "
+                              "with own_name")
+        accounts[row.name] = Account(row.name, row.secret.encode(), row.own_name, row.own_secret.encode())
+    return accounts
+
+
+def _account(accounts: dict[str, Account], name: str, path: str) -> Account:
+    if name not in accounts:
+        raise ConfigError(f"{path}: no account {name!r} in iscsi.secrets")
+    return accounts[name]
+
+
+def _target(name: str, initiators: list[str], chap: list[str], accounts: dict[str, Account],
+            path: str) -> TargetRule:
+    held = {one: _account(accounts, one, f"{path}.chap") for one in chap}
+    return TargetRule(name, frozenset(initiators), held)
+
+
 def _luns(rows: list[LunTable], plans: tuple[str, ...]) -> tuple[dict[int, Lun], tuple[Extent, ...]]:
     """The LUNs, and the extents that stand with them."""
     luns: dict[int, Lun] = {}
--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+import secrets
 from dataclasses import dataclass, field
 
 from lemonridge import api
@@ -13,25 +14,31 @@
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
 from lemonridge.extents.routing import Route
-from lemonridge.iscsi import scsi, versions
+from lemonridge.iscsi import chap, scsi, versions
 from lemonridge.iscsi.config import Iscsi
+from lemonridge.iscsi.keys import Agreed, NegotiationError, Pairs, conclude, parse, proposal
+from lemonridge.iscsi.numbers import later
 from lemonridge.iscsi.pdu import (
+    CONTINUE,
     FINAL,
     NONE,
     PORTAL_MAX,
+    TEXT_MAX,
+    DataDigestError,
+    HeaderDigestError,
     Op,
     Pdu,
     PduError,
     keep_alive,
-    later,
     pack_lun,
     pack_text,
     read_pdu,
-    unpack_text,
 )  # fmt: skip
 
 log = logging.getLogger(__name__)
 
+OFFERED = ("HeaderDigest", "DataDigest", "MaxConnections", "InitialR2T", "ImmediateData", "MaxBurstLength",
+           "FirstBurstLength", "MaxOutstandingR2T", "ErrorRecoveryLevel")
 RETIRE = 0.9  # of the time after which a node may end an idle session
 NEVER_RAN = frozenset((scsi.Status.BUSY, scsi.Status.TASK_SET_FULL))
 
@@ -118,9 +125,9 @@
         async with asyncio.timeout_at(loop.time() + self._config.connect_us / 1e6):
             reader, writer = await asyncio.open_connection(at.host, at.port)
             keep_alive(writer)
-            session = NodeSession(reader, writer)
+            session = NodeSession(reader, writer, self._counters)
             try:
-                await session.login(self._config.initiator, target, bool(self._config.mapped))
+                await session.login(self._config, target)
             except BaseException:
                 writer.close()
                 raise
@@ -139,13 +146,14 @@
 class NodeSession:
     """One session with a node's target."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._reader, self._writer = reader, writer
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                 counters: Counters) -> None:
+        self._reader, self._writer, self._counters = reader, writer, counters
         self._loop = asyncio.get_running_loop()
         self._tags = itertools.count(1)
         self._cmd_sn, self._max_cmd_sn, self._exp_stat_sn = 1, 1, 0
         self._flights: dict[int, Flight] = {}
-        self._segment, self._burst, self._first_burst, self._immediate = 8192, 262144, 65536, True
+        self._agreed = Agreed()
         self._heard, self._used = self._loop.time(), self._loop.time()
         self._receiver: asyncio.Task[None] | None = None
         self.over = False  # takes no new commands
@@ -160,38 +168,75 @@
     def idle_s(self) -> float:
         return 0.0 if self._flights else self._loop.time() - self._used
 
-    async def login(self, initiator: str, target: str, versioned: bool) -> None:
-        """Straight into operational negotiation: no authentication, no digests."""
-        pairs = [("InitiatorName", initiator), ("TargetName", target), ("SessionType", "Normal"),
-                 ("HeaderDigest", "None"), ("DataDigest", "None"), ("ErrorRecoveryLevel", "0"),
-                 ("InitialR2T", "Yes"), ("ImmediateData", "Yes"), ("MaxBurstLength", "262144"),
-                 ("FirstBurstLength", "65536"), ("MaxRecvDataSegmentLength", str(PORTAL_MAX)),
-                 ("MaxConnections", "1"), ("MaxOutstandingR2T", "1")]  # fmt: skip
-        if versioned:
-            pairs.append((versions.KEY, versions.AGREED))
+    async def login(self, config: Iscsi, target: str) -> None:
+        """Authentication where there is an account, then operational negotiation (RFC 7143, chapter 6)."""
+        names = [("InitiatorName", config.initiator), ("TargetName", target), ("SessionType", "Normal")]
         isid = b"\x80" + next(_isid).to_bytes(5, "big")
-        self._write(Pdu(Op.LOGIN, FINAL | 1 << 2 | 3, lun=isid + b"\0\0", tag=0, data=pack_text(pairs),
-                        immediate=True), number=True)  # fmt: skip
-        answer = await read_pdu(self._reader)
-        if answer.opcode != Op.LOGIN_RESPONSE or answer.words[4] >> 16 or answer.flags & 0x83 != FINAL | 3:
-            raise PduError(PduError.PROTOCOL, f"login refused with {answer.words[4] >> 16:#06x}", answer)
-        self._numbers(answer, status=True)
-        self._agree(unpack_text(answer.data))
+        if config.node_account is not None:
+            await self._authenticate(isid, names, config.node_account)
+            names = []
+        wishes = config.node_wishes
+        offers = proposal(wishes, OFFERED)
+        offers.append(("MaxRecvDataSegmentLength", str(PORTAL_MAX)))
+        if config.mapped:
+            offers.append((versions.KEY, versions.AGREED))
+        told, final = await self._exchange(isid, 1, 3, names + offers)
+        if not final:
+            raise PduError(PduError.PROTOCOL, "the login goes on after all was said")
+        try:
+            self._agreed, private = conclude(offers, told, PORTAL_MAX)
+        except NegotiationError as error:
+            raise PduError(PduError.PROTOCOL, f"login answered with {error}") from None
+        self.versioned = private.get(versions.KEY) == versions.AGREED
         self._receiver = asyncio.create_task(self._receive())
 
-    def _agree(self, told: dict[str, str]) -> None:
-        sizes = {key: int(value) for key, value in told.items() if value.isdigit()}
-        self._segment = max(512, sizes.get("MaxRecvDataSegmentLength", self._segment))
-        self._burst = max(512, sizes.get("MaxBurstLength", self._burst))
-        self._first_burst = sizes.get("FirstBurstLength", self._first_burst)
-        self._immediate = told.get("ImmediateData") != "No"
-        self.versioned = told.get(versions.KEY) == versions.AGREED
+    async def _authenticate(self, isid: bytes, names: Pairs, account: chap.Account) -> None:
+        """CHAP, mutual where the account has a secret for the node (RFC 7143, section 12.1.3)."""
+        ours = chap.Initiator(account, secrets.token_bytes)
+        try:
+            told, _ = await self._exchange(isid, 0, 0, [*names, ("AuthMethod", "CHAP"), *ours.begin()])
+            if "CHAP_C" not in dict(told):  # the method is agreed on first
+                told, _ = await self._exchange(isid, 0, 0, ours.begin())
+            told, final = await self._exchange(isid, 0, 1, ours.respond(dict(told)))
+            ours.check(dict(told))
+        except chap.ChapError as error:
+            raise PduError(PduError.PROTOCOL, f"authentication: {error}") from None
+        if not final:
+            raise PduError(PduError.PROTOCOL, "the node does not leave the security stage")
+
+    async def _exchange(self, isid: bytes, now: int, following: int, pairs: Pairs) -> tuple[Pairs, bool]:
+        """One step of the login: what the node says, in as many PDUs as it takes, and whether the stage is
+        left."""
+        flags = now << 2 | (FINAL | following if following != now else 0)
+        data, text = pack_text(pairs), b""
+        while True:
+            self._write(Pdu(Op.LOGIN, flags, lun=isid + b"\0\0", tag=0, data=data, immediate=True),
+                        number=True)  # fmt: skip
+            answer = await read_pdu(self._reader)
+            if answer.opcode != Op.LOGIN_RESPONSE or answer.words[4] >> 16:
+                raise PduError(PduError.PROTOCOL, f"login refused with {answer.words[4] >> 16:#06x}", answer)
+            self._numbers(answer, status=True)
+            text += answer.data
+            if len(text) > TEXT_MAX or answer.flags >> 2 & 3 != now:
+                raise PduError(PduError.PROTOCOL, "a login response out of place", answer)
+            if not answer.flags & CONTINUE:
+                break
+            data = b""
+        final = bool(answer.flags & FINAL)
+        if final and answer.flags & 3 != following:
+            raise PduError(PduError.PROTOCOL, "a login response out of place", answer)
+        try:
+            return parse(text), final
+        except NegotiationError as error:
+            raise PduError(PduError.PROTOCOL, str(error), answer) from None
 
     async def execute(self, command: scsi.Command, ahs: bytes = b"") -> scsi.Reply:
         """Send a command, with as much of its data as goes along; the target asks for the rest."""
         tag, sent = next(self._tags) % NONE, self._loop.time()
         flight = self._flights[tag] = Flight(command, self._loop.create_future())
-        data = command.data[: min(self._segment, self._first_burst)] if self._immediate else b""
+        agreed = self._agreed
+        first = min(agreed.send_segment, agreed.first_burst)
+        data = command.data[:first] if agreed.immediate_data else b""
         flags = FINAL | (0x40 if command.reads else 0) | (0x20 if command.writes else 0) | 1  # simple task
         cdb = [int.from_bytes(command.cdb[n : n + 4], "big") for n in range(0, 16, 4)]
         self._write(Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(command.lun), tag=tag, data=data, ahs=ahs,
@@ -239,7 +284,7 @@
         else:
             pdu.words[2] = self._exp_stat_sn
         if not self._writer.is_closing():
-            self._writer.write(pdu.encode())
+            self._writer.write(pdu.encode(self._agreed.header_digest, self._agreed.data_digest))
 
     def _numbers(self, pdu: Pdu, status: bool) -> None:
         if status:
@@ -252,11 +297,16 @@
         why = "the target closed the connection"
         try:
             while True:
-                pdu = await read_pdu(self._reader, PORTAL_MAX)
+                pdu = await read_pdu(self._reader, PORTAL_MAX, self._agreed.header_digest,
+                                     self._agreed.data_digest)
                 self._heard = self._loop.time()
                 self._take(pdu)
         except (OSError, EOFError):
             pass
+        except (HeaderDigestError, DataDigestError):
+            why = "spoilt on the way"  # at recovery level 0 a session ends with it (7.8)
+            self._counters["digests.node"] += 1
+            log.warning("node's PDU spoilt")
         except PduError as error:
             why = str(error)
             log.warning("node broke the protocol", extra={"error": why})
@@ -313,10 +363,10 @@
     def _data_out(self, flight: Flight, pdu: Pdu) -> None:
         """What the target asks for, in PDUs that it takes."""
         start, end = pdu.words[5], pdu.words[5] + pdu.words[6]
-        if not start < end <= len(flight.command.data) or end - start > self._burst:
+        if not start < end <= len(flight.command.data) or end - start > self._agreed.max_burst:
             raise PduError(PduError.PROTOCOL, "asks for data that there is not", pdu)
-        for count, offset in enumerate(range(start, end, self._segment)):
-            until = min(offset + self._segment, end)
+        for count, offset in enumerate(range(start, end, self._agreed.send_segment)):
+            until = min(offset + self._agreed.send_segment, end)
             self._write(Pdu(Op.DATA_OUT, FINAL if until == end else 0, lun=pdu.lun, tag=pdu.tag,
                             data=flight.command.data[offset:until],
                             words=[pdu.words[0], 0, 0, 0, count, offset, 0]))  # fmt: skip
--- a/lemonridge/iscsi/pdu.py
+++ b/lemonridge/iscsi/pdu.py
@@ -1,4 +1,4 @@
-"""PDUs of RFC 7143: their layout, and their way on and off a stream."""
+"""PDUs of RFC 7143: their layout, their digests, and their way on and off a stream."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from crc32c import crc32c
+
 BHS = struct.Struct(">BBBBI8sI7I")
 NONE = 0xFFFFFFFF  # a task tag that names no task
 FINAL, CONTINUE = 0x80, 0x40
@@ -24,6 +26,7 @@
     TEXT = 0x04
     DATA_OUT = 0x05
     LOGOUT = 0x06
+    SNACK = 0x10
     NOP_IN = 0x20
     SCSI_RESPONSE = 0x21
     TASK_MANAGEMENT_RESPONSE = 0x22
@@ -36,10 +39,23 @@
     REJECT = 0x3F
 
 
+class HeaderDigestError(Exception):
+    """A header that came spoilt: where the next PDU begins is not known, so the connection is lost (7.8)."""
+
+
+class DataDigestError(Exception):
+    """A data segment that came spoilt; the header `pdu` is sound."""
+
+    def __init__(self, pdu: Pdu) -> None:
+        super().__init__(f"data digest of opcode {pdu.opcode:#04x}")
+        self.pdu = pdu
+
+
 class PduError(Exception):
     """A PDU that breaks the protocol; `reason` is the one of a Reject."""
 
     PROTOCOL, UNSUPPORTED, FIELD = 0x04, 0x05, 0x09
+    DIGEST, SNACK, TOO_MANY, IN_PROGRESS = 0x02, 0x03, 0x06, 0x07  # reasons of a Reject (11.17.1)
 
     def __init__(self, reason: int, text: str, pdu: Pdu | None = None) -> None:
         super().__init__(text)
@@ -62,27 +78,53 @@
     immediate: bool = False
     ahs: bytes = b""  # additional header segments, whole words
 
-    def encode(self) -> bytes:
+    def encode(self, header_digest: bool = False, data_digest: bool = False) -> bytes:
+        """The bytes on the wire; digests are CRC32C in the byte order of RFC 3720's examples (13.1)."""
         first = self.opcode | (0x40 if self.immediate else 0)
         lengths = len(self.ahs) // 4 << 24 | len(self.data)
         head = (first, self.flags, self.byte2, self.byte3, lengths, self.lun, self.tag)
-        return BHS.pack(*head, *self.words) + self.ahs + self.data + bytes(-len(self.data) % 4)
+        header = BHS.pack(*head, *self.words) + self.ahs
+        data = self.data + bytes(-len(self.data) % 4)
+        if header_digest:
+            header += _digest(header)
+        if data_digest and data:
+            data += _digest(data)
+        return header + data
 
     @property
     def cdb(self) -> bytes:
         return struct.pack(">4I", *self.words[3:])
 
 
-async def read_pdu(reader: asyncio.StreamReader, data_max: int = PORTAL_MAX) -> Pdu:
-    """The next PDU, however TCP has split it; no more than `data_max` is ever held for it."""
-    first, flags, byte2, byte3, lengths, lun, tag, *words = BHS.unpack(await reader.readexactly(BHS.size))
+def _digest(raw: bytes) -> bytes:
+    return int(crc32c(raw)).to_bytes(4, "little")
+
+
+async def read_pdu(reader: asyncio.StreamReader, data_max: int = PORTAL_MAX, header_digest: bool = False,
+                   data_digest: bool = False) -> Pdu:
+    """The next PDU, however TCP has split it; no more than `data_max` is ever held for it.
+
+    PduError if its data segment is longer, HeaderDigestError and DataDigestError if it came spoilt."""
+    header = await reader.readexactly(BHS.size)
+    if header_digest:  # before a spoilt length is believed, where there are no further header segments
+        ahs = await reader.readexactly(header[4] * 4)
+        if await reader.readexactly(4) != _digest(header + ahs):
+            raise HeaderDigestError
+    first, flags, byte2, byte3, lengths, lun, tag, *words = BHS.unpack(header)
     pdu = Pdu(first & 0x3F, flags, byte2, byte3, lun, tag, words, b"", bool(first & 0x40))
     length = lengths & 0xFFFFFF
     if length > data_max:
         raise PduError(PduError.PROTOCOL, f"a data segment of {length} bytes", pdu)
-    if lengths >> 24:
+    if header_digest:
+        pdu.ahs = ahs
+    elif lengths >> 24:
         pdu.ahs = await reader.readexactly((lengths >> 24) * 4)
-    pdu.data = (await reader.readexactly(length + -length % 4))[:length]
+    if not length:
+        return pdu
+    data = await reader.readexactly(length + -length % 4)
+    if data_digest and await reader.readexactly(4) != _digest(data):
+        raise DataDigestError(pdu)
+    pdu.data = data[:length]
     return pdu
 
 
@@ -95,12 +137,6 @@
             sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
 
 
-def later(one: int, other: int) -> int:
-    """How far one sequence number is past another, in the arithmetic of RFC 1982."""
-    distance = (one - other) & NONE
-    return distance - 2**32 if distance >= 2**31 else distance
-
-
 def pack_lun(lun: int) -> bytes:
     """A LUN below 256 in peripheral, another in flat addressing."""
     return struct.pack(">H6x", lun if lun < 256 else 0x4000 | lun)
--- a/lemonridge/iscsi/schema.py
+++ b/lemonridge/iscsi/schema.py
@@ -39,6 +39,45 @@
     max_transfer_kib: Count = 256
     buffer_mib: Annotated[int, Meta(ge=1, le=65536)] = 48
     unit_kib: Count = 64
+    connections: Annotated[int, Meta(ge=1, le=32)] = 4
+    max_connections: Count = 256
+    recovery_level: Annotated[int, Meta(ge=0, le=2)] = 2
+    digests: tuple[Literal["CRC32C", "None"], ...] = ("CRC32C", "None")
+    initial_r2t: bool = False
+    max_r2t: Annotated[int, Meta(ge=1, le=64)] = 4
+    max_burst_kib: Annotated[int, Meta(ge=1, le=16383)] = 256
+    first_burst_kib: Annotated[int, Meta(ge=1, le=16383)] = 64
+    time2wait_s: Annotated[int, Meta(ge=0, le=3600)] = 2
+    time2retain_s: Annotated[int, Meta(ge=0, le=3600)] = 20
+    statuses_kept: Annotated[int, Meta(ge=8, le=4096)] = 128
+    ping_s: Figure = 30
+    login_failures: Count = 10
+    power_on_attention: bool = False
+    secrets: str | None = None
+    chap: list[str] = []
+
+
+class TargetTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[[target]]: a further name of the target, with its own access."""
+
+    name: Iqn
+    initiators: list[str] = []
+    chap: list[str] = []
+
+
+class AccountTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[[account]] of the file of secrets; `own_*` is how this side proves itself to the other (mutual)."""
+
+    name: Name
+    secret: Annotated[str, Meta(min_length=12, max_length=255)]
+    own_name: str = ""
+    own_secret: Annotated[str, Meta(max_length=255)] = ""
+
+
+class SecretsFile(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """The file of secrets."""
+
+    account: Annotated[list[AccountTable], Meta(min_length=1)]
 
 
 class InitiatorTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -47,6 +86,8 @@
     name: Iqn
     connect_timeout_ms: Positive = 250
     idle_s: Positive = 60
+    digests: tuple[Literal["CRC32C", "None"], ...] = ("None", "CRC32C")
+    chap: str | None = None
 
 
 class ClassTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -143,6 +184,7 @@
     """The operator's file."""
 
     iscsi: FrontTable
+    target: list[TargetTable] = []
     initiator: InitiatorTable
     classes: ClassesTable
     rules: RulesTable = field(default_factory=RulesTable)
--- a/lemonridge/iscsi/scsi.py
+++ b/lemonridge/iscsi/scsi.py
@@ -11,16 +11,19 @@
     GOOD = 0x00
     CHECK_CONDITION = 0x02
     BUSY = 0x08
+    RESERVATION_CONFLICT = 0x18
     TASK_SET_FULL = 0x28
     TASK_ABORTED = 0x40
 
 
 # Operation codes that are carried, by whether they write. A write may run once only.
-WRITES = frozenset((0x0A, 0x2A, 0x8A, 0x35, 0x91))  # WRITE (6, 10, 16), SYNCHRONIZE CACHE (10, 16)
-READS = frozenset((0x00, 0x03, 0x08, 0x12, 0x1A, 0x25, 0x28, 0x5A, 0x88, 0x9E))
+WRITES = frozenset((0x0A, 0x2A, 0x8A, 0x35, 0x91, 0x41, 0x93, 0x42, 0x89))
+# WRITE (6, 10, 16), SYNCHRONIZE CACHE (10, 16), WRITE SAME (10, 16), UNMAP, COMPARE AND WRITE
+READS = frozenset((0x00, 0x03, 0x08, 0x12, 0x1A, 0x25, 0x28, 0x5A, 0x88, 0x9E, 0x2F, 0x8F))
 # TEST UNIT READY, REQUEST SENSE, READ (6), INQUIRY, MODE SENSE (6), READ CAPACITY (10), READ (10),
-# MODE SENSE (10), READ (16), SERVICE ACTION IN
-INQUIRY, REPORT_LUNS = 0x12, 0xA0
+# MODE SENSE (10), READ (16), SERVICE ACTION IN, VERIFY (10, 16)
+VERIFIES = frozenset((0x2F, 0x8F))  # may bring data to compare with, and change none
+UNMAPPED_ONLY = frozenset((0x2F, 0x8F, 0x41, 0x93, 0x42, 0x89))  # not for LUNs in extents
 
 
 @dataclass(slots=True)
--- a/lemonridge/iscsi/service.py
+++ b/lemonridge/iscsi/service.py
@@ -17,7 +17,7 @@
 from lemonridge.iscsi.config import Iscsi
 from lemonridge.iscsi.initiator import IscsiNodes
 from lemonridge.iscsi.mapped import MappedLuns
-from lemonridge.iscsi.target import IscsiFront
+from lemonridge.iscsi.portal import IscsiFront
 from lemonridge.service import Service
 
 log = logging.getLogger(__name__)
@@ -53,7 +53,7 @@
     made.close = close
     broker = Broker(made.decider, nodes, made.counters, router)
     mapped = MappedLuns(config, broker, router, made.counters) if router is not None else None
-    made.front = front = IscsiFront(config, broker, made.clock, made.counters, mapped)
+    made.front = front = IscsiFront(config, broker, made.clock, made.directory, made.counters, mapped)
     await front.start(config.listen)
     return made
 
--- /dev/null
+++ b/lemonridge/lab/client.py
@@ -0,0 +1,426 @@
+"""An initiator that recovers as its session's level has it (RFC 7143, chapter 7): the stand-in for a good
+driver.
+
+Level 0 and 1: a lost connection ends the session, and what it had is lost. Level 1: spoilt PDUs are asked for
+again. Level 2: a lost connection is made anew, and its commands are reassigned.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import struct
+from collections.abc import Awaitable
+from dataclasses import dataclass, field
+from random import Random
+
+from lemonridge.iscsi import chap
+from lemonridge.iscsi.numbers import later
+from lemonridge.iscsi.pdu import (
+    FINAL,
+    NONE,
+    DataDigestError,
+    HeaderDigestError,
+    Op,
+    Pdu,
+    PduError,
+    pack_lun,
+    pack_text,
+    read_pdu,
+    unpack_text,
+)  # fmt: skip
+from lemonridge.lab.link import Link
+
+__all__ = ["Client", "CommandLostError", "Link"]
+
+LOGIN = FINAL | 1 << 2 | 3
+SEGMENT = 8192
+ANSWER_S = 6.0  # for a login or a reassignment
+_isids = itertools.count(1000)
+
+
+class CommandLostError(Exception):
+    """The session ended under a command: what it did is not known."""
+
+
+class LoginFailedError(Exception):
+    """A login that was refused or broke off."""
+
+
+@dataclass(eq=False)
+class Command:
+    """A command under way."""
+
+    pdu: Pdu
+    data: bytes
+    expects: int
+    done: asyncio.Future[tuple[int, bytes]]
+    connection: Connection | None = None
+    parts: dict[int, bytes] = field(default_factory=dict)  # by DataSN
+    status: Pdu | None = None
+    touched: bool = False  # something of it was recovered
+
+    def finish(self) -> bool:
+        """Whether all is there: the status, and every Data-In that it counts."""
+        if self.status is None or len(self.parts) < self.status.words[4]:
+            return False
+        if not self.done.done():
+            self.done.set_result((self.status.byte3, b"".join(self.parts[n] for n in sorted(self.parts))))
+        return True
+
+
+class Connection:
+    """One connection of a client's session."""
+
+    def __init__(self, client: Client, cid: int) -> None:
+        self.client, self.cid = client, cid
+        self.exp_stat_sn, self.header, self.data = 0, False, False
+        self.alive = False
+        self.statuses: set[int] = set()  # StatSNs that came after one that is missing
+        self.task: asyncio.Task[None] | None = None
+        self.answers: dict[int, asyncio.Future[Pdu]] = {}
+
+    async def open(self, tsih: int) -> int:
+        """Connect and log in; the session's TSIH."""
+        client = self.client
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", client.link.port)
+        try:
+            answer = await self._login(tsih)
+        except (asyncio.IncompleteReadError, ConnectionError, PduError):
+            self.writer.transport.abort()
+            raise LoginFailedError("broken off") from None
+        told = unpack_text(answer.data)
+        self.header, self.data = told.get("HeaderDigest") == "CRC32C", told.get("DataDigest") == "CRC32C"
+        if "ErrorRecoveryLevel" in told and int(told["ErrorRecoveryLevel"]) != client.level:
+            raise LoginFailedError(f"level {told['ErrorRecoveryLevel']}")
+        self.alive = True
+        self.task = asyncio.create_task(self._receive())
+        return int.from_bytes(answer.lun[6:], "big")
+
+    async def _login(self, tsih: int) -> Pdu:
+        client = self.client
+        names = {"InitiatorName": client.name, "TargetName": client.target, "SessionType": "Normal"}
+        keys = {**client.keys, "MaxRecvDataSegmentLength": str(SEGMENT)}
+        if not tsih:
+            keys |= {"ErrorRecoveryLevel": str(client.level), "MaxConnections": str(client.connections),
+                     "InitialR2T": "Yes", "ImmediateData": "Yes", "MaxOutstandingR2T": "2"}  # fmt: skip
+        if client.account is not None:
+            await self._step(0, {**names, "AuthMethod": "CHAP"}, tsih)
+            told = unpack_text((await self._step(0, {"CHAP_A": "7,5"}, tsih)).data)
+            proof = chap.response(int(told["CHAP_A"]), int(told["CHAP_I"]), client.account[1].encode(),
+                                  chap.decode(told["CHAP_C"]))
+            names = {"CHAP_N": client.account[0], "CHAP_R": chap.encode(proof)}
+            await self._step(FINAL | 1, names, tsih)
+            names = {}
+        return await self._step(LOGIN, {**names, **keys}, tsih)
+
+    async def _step(self, flags: int, pairs: dict[str, str], tsih: int) -> Pdu:
+        lun = self.client.isid + tsih.to_bytes(2, "big")
+        words = [self.cid << 16, self.client.cmd_sn, self.exp_stat_sn, 0, 0, 0, 0]
+        self.writer.write(Pdu(Op.LOGIN, flags, lun=lun, tag=1, immediate=True, data=pack_text(pairs.items()),
+                              words=words).encode())
+        answer = await read_pdu(self.reader)
+        if answer.opcode != Op.LOGIN_RESPONSE or answer.words[4] >> 16:
+            raise LoginFailedError(f"status {answer.words[4] >> 16:#06x}")
+        self.exp_stat_sn = (answer.words[1] + 1) % (1 << 32)
+        if not tsih and not self.client.up:
+            self.client.max_cmd_sn = answer.words[3]
+        return answer
+
+    def send(self, pdu: Pdu) -> None:
+        pdu.words[2] = self.exp_stat_sn
+        if not self.writer.is_closing():
+            self.writer.write(pdu.encode(self.header, self.data))
+
+    async def _receive(self) -> None:
+        try:
+            while True:
+                try:
+                    self.take(await read_pdu(self.reader, 1 << 20, self.header, self.data))
+                except DataDigestError as error:
+                    if not self.client.level:
+                        break
+                    self._missed(error.pdu)
+        except (asyncio.IncompleteReadError, ConnectionError, HeaderDigestError, PduError):
+            pass
+        self.alive = False
+        self.writer.transport.abort()
+        for answer in self.answers.values():
+            if not answer.done():
+                answer.set_exception(LoginFailedError("the connection ended"))
+        self.client.lost(self)
+
+    def _missed(self, pdu: Pdu) -> None:
+        """A PDU whose data came spoilt is asked for again (7.2, 7.3)."""
+        if pdu.opcode == Op.DATA_IN:
+            command = self.client.commands.get(pdu.tag)
+            if command is not None:
+                command.touched = True
+                self._snack(0, pdu.tag, pdu.words[4], 1)
+        elif pdu.opcode in (Op.SCSI_RESPONSE, Op.REJECT, Op.TEXT_RESPONSE):
+            self._snack(1, NONE, pdu.words[1], 1)
+
+    def _snack(self, kind: int, tag: int, first: int, run: int) -> None:
+        self.send(Pdu(Op.SNACK, FINAL | kind, tag=tag, words=[NONE, 0, 0, 0, 0, first, run]))
+
+    def take(self, pdu: Pdu) -> None:
+        client = self.client
+        client.window(pdu.words[2], pdu.words[3])
+        if pdu.opcode == Op.DATA_IN:
+            command = client.commands.get(pdu.tag)
+            if command is not None and command.connection is self:
+                command.parts[pdu.words[4]] = pdu.data
+                client.look(command)
+            return
+        if pdu.opcode == Op.R2T:
+            client.data_out(self, pdu)
+            return
+        if pdu.opcode == Op.NOP_IN and pdu.tag == NONE:
+            if pdu.words[0] != NONE:
+                self.send(Pdu(Op.NOP_OUT, immediate=True, words=[pdu.words[0], client.cmd_sn, 0, 0, 0, 0, 0]))
+            return
+        fresh = self._number(pdu.words[1])
+        if pdu.opcode == Op.SCSI_RESPONSE:
+            client.respond(self, pdu, fresh)
+        elif pdu.opcode == Op.REJECT and fresh:
+            client.rejected(self, pdu)
+        elif pdu.tag in self.answers and not self.answers[pdu.tag].done():
+            self.answers[pdu.tag].set_result(pdu)
+
+    def _number(self, number: int) -> bool:
+        """Note a StatSN; whether it is new. What lies between is asked for by `_missed` as it comes
+        spoilt."""
+        if later(number, self.exp_stat_sn) < 0 or number in self.statuses:
+            return False
+        self.statuses.add(number)
+        while self.exp_stat_sn in self.statuses:
+            self.statuses.discard(self.exp_stat_sn)
+            self.exp_stat_sn = (self.exp_stat_sn + 1) % (1 << 32)
+        return True
+
+    async def ask(self, pdu: Pdu) -> Pdu:
+        answer: asyncio.Future[Pdu] = asyncio.get_running_loop().create_future()
+        self.answers[pdu.tag] = answer
+        try:
+            self.send(pdu)
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + ANSWER_S):
+                return await answer
+        finally:
+            del self.answers[pdu.tag]
+
+
+class Client:
+    """A session that is made anew as often as it takes."""
+
+    patience_s = 6.0  # beyond a command's own deadline: for what recovery takes
+
+    def __init__(self, link: Link, target: str, name: str, connections: int, level: int, random: Random,
+                 account: tuple[str, str] | None, keys: dict[str, str]) -> None:
+        self.link, self.target, self.name, self.level = link, target, name, level
+        self.connections, self.random, self.account, self.keys = connections, random, account, keys
+        self.isid = b"\x80" + next(_isids).to_bytes(5, "big")
+        self.commands: dict[int, Command] = {}
+        self.over: set[int] = set()  # tags of commands that were answered
+        self.cmd_sn, self.exp_cmd_sn, self.max_cmd_sn, self.tsih = 1, 1, 0, 0
+        self.open: list[Connection] = []
+        self.recovered = self.sessions = self.doubled = 0
+        self.up = False
+        self._tags = itertools.count(1)
+        self._lock, self._room = asyncio.Lock(), asyncio.Event()
+        self._mending: set[asyncio.Task[None]] = set()
+        self._closed = False
+
+    # A command
+
+    async def run(self, cdb: bytes, lun: int, data: bytes, read: int) -> tuple[int, bytes]:
+        """Status and data of one command; CommandLostError if its session ended under it."""
+        while True:
+            await self._ready()
+            if later(self.cmd_sn, self.max_cmd_sn) <= 0 and self.up and (alive := self._alive()):
+                break
+            self._room.clear()
+            await self._wait(self._room.wait())
+        tag = next(self._tags) % NONE
+        flags = FINAL | (0x40 if read else 0) | (0x20 if data else 0) | 1
+        words = list(struct.unpack(">4I", cdb.ljust(16, b"\0")))
+        pdu = Pdu(Op.SCSI_COMMAND, flags, lun=pack_lun(lun), tag=tag, data=data[:4096],
+                  words=[len(data) or read, self.cmd_sn, 0, *words])  # fmt: skip
+        self.cmd_sn = (self.cmd_sn + 1) % (1 << 32)
+        command = Command(pdu, data, read, asyncio.get_running_loop().create_future())
+        self.commands[tag] = command
+        command.connection = self.random.choice(alive)
+        command.connection.send(pdu)
+        try:
+            return await command.done
+        finally:
+            self.commands.pop(tag, None)
+            self.over.add(tag)
+
+    async def _wait(self, what: Awaitable[bool]) -> None:
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + 0.1):
+                await what
+        except TimeoutError:
+            pass
+
+    def _alive(self) -> list[Connection]:
+        return [one for one in self.open if one.alive]
+
+    def window(self, expected: int, top: int) -> None:
+        if later(expected, self.exp_cmd_sn) > 0:
+            self.exp_cmd_sn = expected
+        if later(top, self.max_cmd_sn) > 0:
+            self.max_cmd_sn = top
+            self._room.set()
+
+    def data_out(self, connection: Connection, pdu: Pdu) -> None:
+        command = self.commands.get(pdu.tag)
+        if command is None:
+            return
+        start, length = pdu.words[5:7]
+        for count, at in enumerate(range(start, start + length, SEGMENT)):
+            end = min(at + SEGMENT, start + length)
+            connection.send(Pdu(Op.DATA_OUT, FINAL if end == start + length else 0, lun=pdu.lun, tag=pdu.tag,
+                                data=command.data[at:end], words=[pdu.words[0], 0, 0, 0, count, at, 0]))
+
+    def respond(self, connection: Connection, pdu: Pdu, fresh: bool) -> None:
+        command = self.commands.get(pdu.tag)
+        if command is None or command.status is not None:
+            self.doubled += fresh and pdu.tag in self.over
+            return
+        command.status = pdu
+        self.look(command)
+
+    def look(self, command: Command) -> None:
+        if command.finish() and command.touched:
+            command.touched = False
+            self.recovered += 1
+
+    def rejected(self, connection: Connection, pdu: Pdu) -> None:
+        """A command that came spoilt is sent again under its number; lost data are asked for by the
+        target."""
+        tag = int.from_bytes(pdu.data[16:20], "big")
+        command = self.commands.get(tag)
+        if pdu.byte2 == PduError.DIGEST and command is not None:
+            command.touched = True
+            if pdu.data[0] & 0x3F == Op.SCSI_COMMAND:
+                connection.send(command.pdu)
+
+    # Sessions
+
+    async def _ready(self) -> None:
+        """A session with a connection, made if there is none."""
+        async with self._lock:
+            while not self.up or not self._alive():
+                if self._mending:
+                    await asyncio.sleep(0.005)
+                    continue
+                await self._begin()
+
+    async def _begin(self) -> None:
+        """A new session: what the old one had is lost."""
+        self._lose()
+        self.up, self.open = False, []
+        self.cmd_sn = self.exp_cmd_sn = self.random.choice((1, 0xFFFFFFF0))
+        try:
+            first = Connection(self, 0)
+            self.tsih = await first.open(0)
+            self.open = [first]
+            self.up = True
+            self.sessions += 1
+            for cid in range(1, self.connections):
+                other = Connection(self, cid)
+                await other.open(self.tsih)
+                self.open.append(other)
+        except (LoginFailedError, OSError):
+            await asyncio.sleep(0.02)
+
+    def _lose(self) -> None:
+        for command in self.commands.values():
+            if not command.done.done():
+                command.done.set_exception(CommandLostError())
+
+    def lost(self, connection: Connection) -> None:
+        """A connection is gone."""
+        self._room.set()
+        if connection not in self.open or self._closed:
+            return
+        if self.level < 2:
+            self.up = False
+            for other in self.open:
+                if other.alive:
+                    other.writer.transport.abort()
+            self._lose()
+            return
+        task = asyncio.create_task(self._mend(connection))
+        self._mending.add(task)
+        task.add_done_callback(self._mending.discard)
+
+    async def _mend(self, old: Connection) -> None:
+        """Make a lost connection anew under its CID, and take its commands over to it (7.4)."""
+        made = Connection(self, old.cid)
+        self.open = [made if one is old else one for one in self.open]
+        orphans = [command for command in self.commands.values() if command.connection is old]
+        for _ in range(20):
+            try:
+                await made.open(self.tsih)
+                break
+            except (LoginFailedError, OSError) as error:
+                if "0x020a" in str(error):
+                    break
+                await asyncio.sleep(0.02)
+        if not made.alive:
+            self.up = False
+            for other in self.open:
+                if other.alive:
+                    other.writer.transport.abort()
+            self._lose()
+            return
+        for command in orphans:
+            if not command.done.done():
+                command.connection = made
+                await self._reassign(made, command)
+        self._room.set()
+
+    async def _reassign(self, made: Connection, command: Command) -> None:
+        command.parts.clear()
+        command.status = None
+        tag = next(self._tags) % NONE
+        try:
+            answer = await made.ask(Pdu(
+                Op.TASK_MANAGEMENT, FINAL | 8, lun=command.pdu.lun, tag=tag, immediate=True,
+                words=[command.pdu.tag, self.cmd_sn, 0, command.pdu.words[1], 0, 0, 0]))
+        except (LoginFailedError, TimeoutError):
+            return  # that connection is lost too, and mended in its turn
+        command.touched = True
+        if answer.byte2 == 0:
+            return
+        if later(command.pdu.words[1], self.exp_cmd_sn) >= 0:
+            made.send(command.pdu)  # it never came: again under its number
+        elif not command.done.done():
+            command.done.set_exception(CommandLostError())
+
+    async def flood(self, count: int) -> int:
+        """Send far past the window and read nothing for a while."""
+        await self._begin()
+        if not self.up:
+            return 0
+        connection = self.open[0]
+        if connection.task is not None:
+            connection.task.cancel()
+        for number in range(count):
+            words = list(struct.unpack(">4I", b"\x28" + bytes(6) + b"\0\x40" + bytes(7)))
+            connection.send(Pdu(Op.SCSI_COMMAND, FINAL | 0x41, tag=number + 1,
+                                words=[32768, (self.cmd_sn + number) % (1 << 32), 0, *words]))
+        await asyncio.sleep(0.05)
+        return count
+
+    async def close(self) -> None:
+        self._closed = True
+        for task in list(self._mending):
+            task.cancel()
+        for connection in self.open:
+            if connection.task is not None:
+                connection.task.cancel()
+            connection.writer.transport.abort()
+        await asyncio.sleep(0)
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -1,4 +1,4 @@
-"""`lemonridge drill` and `lemonridge bench`: what they print, and how they end."""
+"""`lemonridge drill`, `bench` and `conform`: what they print, and how they end."""
 
 from __future__ import annotations
 
@@ -8,8 +8,9 @@
 
 import orjson
 
-from lemonridge.config import ConfigError
-from lemonridge.lab import bench_extents, drill_extents
+from lemonridge.config import Address, ConfigError
+from lemonridge.lab import bench_extents, drill_extents, drill_iscsi
+from lemonridge.lab.conform import suite
 from lemonridge.lab.program import ProgramError
 
 
@@ -20,7 +21,13 @@
     told = drill_extents.Options(options.seed, options.seconds, options.move_every_ms / 1000,
                                  faults=not options.calm, checked=options.mutation != "unchecked")
     try:
-        figures, found = asyncio.run(drill_extents.Drill(told).run())
+        if options.name == "iscsi":
+            figures, found = asyncio.run(
+                drill_iscsi.Drill(drill_iscsi.Options(options.seed, options.seconds)).run())
+            good = drill_iscsi.held(figures)
+        else:
+            figures, found = asyncio.run(drill_extents.Drill(told).run())
+            good = drill_extents.held(figures, told)
     except ProgramError as error:
         print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
         return 1
@@ -30,7 +37,7 @@
         print(orjson.dumps(figures).decode())
     else:
         print(line(figures))
-    return 0 if drill_extents.held(figures, told) else 1
+    return 0 if good else 1
 
 
 def bench(options: argparse.Namespace) -> int:
@@ -47,3 +54,27 @@
     """key=value, as the log has it."""
     return " ".join(f'{name}="{value}"' if " " in str(value) else f"{name}={value}"
                     for name, value in figures.items())
+
+
+def conform(options: argparse.Namespace) -> int:
+    """Print what failed and what was skipped, then the counts; 0 only if nothing failed."""
+    target = None
+    if options.target:
+        at = Address.parse(options.target, "--target")
+        target = (at.host, at.port)
+
+    def done(result: suite.Result) -> None:
+        if options.json:
+            print(orjson.dumps(vars(result)).decode())
+        elif result.outcome != "passed":
+            print(f"{result.outcome} {result.name} ({result.section}): {result.why}")
+
+    try:
+        results = asyncio.run(suite.run(options.case, options.seed, target, done=done))
+    except ProgramError as error:
+        print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
+        return 1
+    counts = {outcome: sum(one.outcome == outcome for one in results)
+              for outcome in ("passed", "failed", "skipped")}  # fmt: skip
+    print(line({"conform": options.name, "cases": len(results), **counts}))
+    return 0 if results and not counts["failed"] else 1
--- a/lemonridge/lab/node.py
+++ b/lemonridge/lab/node.py
@@ -71,7 +71,7 @@
         self.plain = plain  # takes attempts that name no version, for LUNs that never move
         self.iqn = f"iqn.2026-12.org.lemonridge:{name}"
         self.port = 0
-        self.alive = False
+        self.alive = self.silent = False
         self.blocks: dict[tuple[int, int], bytes] = {}
         self.holds: dict[Key, Hold] = {}
         self.gave: dict[Key, Told] = {}
@@ -183,6 +183,8 @@
     async def run(self) -> None:
         while True:
             pdu = await read_pdu(self.reader, 1 << 20)
+            if self.node.silent:
+                continue  # it takes what comes, and neither runs nor answers it
             if not pdu.immediate and pdu.opcode != Op.DATA_OUT:
                 self.expected = (pdu.words[1] + 1) & NONE
             if pdu.opcode == Op.LOGIN:
@@ -214,7 +216,8 @@
     def _command(self, pdu: Pdu) -> None:
         lun, opcode = unpack_lun(pdu.lun), pdu.cdb[0]
         if lun is None or opcode not in scsi.BLOCKS:  # TEST UNIT READY and the like: no effect
-            self._status(pdu)
+            if lun is None or not self.node.plain or not self._other(pdu, lun):
+                self._status(pdu)
             return
         named = versions.unpack_ahs(pdu.ahs)
         if named is None and self.node.plain:
@@ -234,6 +237,37 @@
         else:
             self._begin(work)
 
+    def _other(self, pdu: Pdu, lun: int) -> bool:
+        """Commands that only a plain node knows; False for those that it does nothing for. Their data come
+        whole with the command, as the broker's sessions carry them."""
+        opcode, cdb, blocks = pdu.cdb[0], pdu.cdb, self.node.blocks
+        top = sum(hold.length for key, hold in self.node.holds.items() if key[0] == lun)
+        if opcode in (scsi.CAPACITY_10, scsi.SERVICE_IN):
+            self._data(pdu, scsi.capacity(cdb, top, BLOCK))
+            return True
+        first, count = int.from_bytes(cdb[2:10], "big"), int.from_bytes(cdb[10:14], "big")
+        reply = scsi.Reply(scsi.Status.GOOD)
+        if opcode == 0x93:
+            blocks.update(dict.fromkeys(((lun, first + place) for place in range(count)), pdu.data[:BLOCK]))
+        elif opcode == 0x42:
+            first, count = struct.unpack(">QI", pdu.data[8:20])
+            for place in range(count):
+                blocks.pop((lun, first + place), None)
+        elif opcode == 0x89:
+            if blocks.get((lun, first), bytes(BLOCK)) == pdu.data[:BLOCK]:
+                blocks[lun, first] = pdu.data[BLOCK:]
+            else:
+                reply = scsi.check(0x0E, 0x1D)  # MISCOMPARE
+        else:
+            return False
+        self._status(pdu, reply)
+        return True
+
+    def _data(self, pdu: Pdu, data: bytes) -> None:
+        self.send(Pdu(Op.DATA_IN, FINAL, lun=pdu.lun, tag=pdu.tag, data=data[: pdu.words[0]],
+                      words=[NONE, 0, 0, 0, 0, 0, 0]), False)  # fmt: skip
+        self._status(pdu)
+
     def _refuse(self, pdu: Pdu, told: Told) -> None:
         self.node.refused += 1
         self._status(pdu, scsi.Reply(scsi.Status.CHECK_CONDITION, sense=versions.pack_moved(told)))
