--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -88,6 +88,12 @@
     return conform(options)
 
 
+def _lab(options: argparse.Namespace) -> int:
+    from lemonridge.lab.command import lab
+
+    return lab(options)
+
+
 def _version(_: argparse.Namespace) -> int:
     print(f"lemonridge {__version__}")
     return 0
@@ -117,7 +123,8 @@
     drill.add_argument("--json", action="store_true", help="the last line as JSON")
     drill.set_defaults(run=_drill)
     bench = commands.add_parser("bench", help="measure a part in one run, against stand-ins on loopback")
-    bench.add_argument("name", choices=("extents",))
+    bench.add_argument("name", choices=("extents", "iscsi", "decisions"))
+    bench.add_argument("--against", metavar="DIR", help="iscsi: another checkout, for CPU a command in turns")
     bench.add_argument("--seed", type=int, default=1)
     bench.add_argument("--seconds", type=float, default=4.0, help="of each setting")
     bench.set_defaults(run=_bench)
@@ -128,11 +135,38 @@
     conform.add_argument("--seed", type=int, default=1)
     conform.add_argument("--json", action="store_true", help="every result as a line of JSON")
     conform.set_defaults(run=_conform)
+    _lab_parser(commands.add_parser("lab", help="try designs in a model, at sizes that sockets don't reach"))
     version = commands.add_parser("version", help="print the version")
     version.set_defaults(run=_version)
     return top
 
 
+def _lab_parser(lab: argparse.ArgumentParser) -> None:
+    """`lemonridge lab`: it needs the extra `lab`."""
+    parts = lab.add_subparsers(required=True, metavar="PART")
+    run = parts.add_parser("run", help="run an experiment's file, or go on where a stop left it")
+    run.add_argument("file")
+    run.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
+    run.add_argument("--out", help="where the results go; FILE.results by default")
+    one = parts.add_parser("one", help="one run of a file, as JSON")
+    one.add_argument("file")
+    one.add_argument("index", type=int)
+    for part in (run, one):
+        part.add_argument("--seed-base", type=int)
+    compare = parts.add_parser("compare", help="paired differences between two folders of results")
+    compare.add_argument("before")
+    compare.add_argument("after")
+    compare.add_argument("--figure", default="service")
+    plot = parts.add_parser("plot", help="draw a figure against a factor")
+    plot.add_argument("results")
+    plot.add_argument("output", help="a PNG or SVG file")
+    plot.add_argument("--factor", required=True)
+    plot.add_argument("--figure", default="service")
+    plot.add_argument("--by", help="a line for each level of this factor")
+    for name, part in (("run", run), ("one", one), ("compare", compare), ("plot", plot)):
+        part.set_defaults(run=_lab, part=name)
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a sub-command; bad input gets one plain line and exit status 2."""
     options = parser().parse_args(arguments)
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -9,7 +9,7 @@
 import orjson
 
 from lemonridge.config import Address, ConfigError
-from lemonridge.lab import bench_extents, drill_extents, drill_iscsi
+from lemonridge.lab import bench_extents, bench_iscsi, drill_extents, drill_iscsi
 from lemonridge.lab.conform import suite
 from lemonridge.lab.program import ProgramError
 
@@ -41,7 +41,20 @@
 
 
 def bench(options: argparse.Namespace) -> int:
-    """Print the figures, a line each; 1 where the map misses its bounds."""
+    """Print the figures, a line each; 1 where the map misses its bounds, or CPU rose by more than a tenth."""
+    if options.name == "decisions":
+        from lemonridge.lab import bench_decisions
+
+        figures = bench_decisions.ratio(options.seed)
+        print(line(figures))
+        return 0 if float(str(figures["ratio"])) <= 2 else 1
+    if options.name == "iscsi":
+        told = bench_iscsi.figures(options.seconds, options.against)
+        for row in told:
+            print(line(row))
+        print(line(bench_iscsi.recovery()))
+        small = float(str(told[0].get("cpu_ratio", 0)))
+        return 0 if small <= 1.1 else 1
     rows = bench_extents.map_figures(options.seed)
     for row in [*rows, *bench_extents.wire_figures(options.seed, options.seconds)]:
         print(line(row))
@@ -78,3 +91,53 @@
               for outcome in ("passed", "failed", "skipped")}  # fmt: skip
     print(line({"conform": options.name, "cases": len(results), **counts}))
     return 0 if results and not counts["failed"] else 1
+
+
+def lab(options: argparse.Namespace) -> int:
+    """The parts of `lemonridge lab`."""
+    try:
+        import numpy  # noqa: F401
+        import simpy  # noqa: F401
+    except ImportError:
+        raise ConfigError("lab needs the extra of that name: pip install 'lemonridge[lab]'") from None
+    from lemonridge.lab.model import runs
+
+    if options.part == "one":
+        print(orjson.dumps(runs.one(options.file, options.index, options.seed_base)).decode())
+        return 0
+    if options.part == "run":
+        return _lab_run(options)
+    from lemonridge.lab.model import report
+
+    if options.part == "compare":
+        try:
+            told = report.paired(runs.read_results(options.before), runs.read_results(options.after),
+                                 options.figure)
+        except (ValueError, KeyError) as error:
+            raise ConfigError(f"cannot compare: {error}") from None
+        print(line({"figure": options.figure, **{name: round(value, 6) for name, value in told.items()}}))
+        return 0
+    results = runs.read_results(options.results)
+    if not results or options.factor not in results[0]["levels"]:
+        raise ConfigError(f"{options.results} has no runs with the factor {options.factor!r}")
+    report.plot(results, options.factor, options.figure, options.output, options.by)
+    return 0
+
+
+def _lab_run(options: argparse.Namespace) -> int:
+    from pathlib import Path
+
+    from lemonridge.lab.model import runs
+
+    if options.jobs < 1:
+        raise ConfigError("lab: --jobs must be 1 or more")
+    out = Path(options.out or f"{options.file}.results")
+    results, died = asyncio.run(runs.run_all(options.file, options.jobs, out, options.seed_base,
+                                             lambda text: print(text, file=sys.stderr)))
+    for result in results:
+        print(line({**result["levels"], "seed": result["seed"], **result["figures"],
+                    "cpu_us": result["cpu_us"]}))  # fmt: skip
+    wrong = runs.broken(results)
+    print(line({"lab": Path(options.file).stem, "runs": len(results), "died": len(died),
+                "rules_broken": wrong, "digest": runs.digest(results)}))  # fmt: skip
+    return 0 if not died and not wrong else 1
--- a/lemonridge/lab/link.py
+++ b/lemonridge/lab/link.py
@@ -61,6 +61,12 @@
         if pipes:
             self.random.choice(pipes).cut_after = self.random.choice((0, 20, 47, 49, 3000, 30000))
 
+    def cut_now(self) -> None:
+        """Every connection ends now."""
+        for pipe in list(self._pipes):
+            self.cut += 1
+            pipe.abort()
+
     def flip_soon(self) -> None:
         """Some digested data segment comes spoilt, either way."""
         pipes = [pipe for pipe in self._pipes if pipe.logged_in and pipe.data]
--- /dev/null
+++ b/lemonridge/lab/model/baselines.py
@@ -0,0 +1,107 @@
+"""Schedulers to compare the module with: they take the same events and return the same actions.
+
+Each sends at once, by its own rule among the usable nodes of a shard, makes at most the attempts that a class
+allows, and knows neither plans nor windows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+from typing import Protocol
+
+from lemonridge import api
+from lemonridge.policy import Scheduler
+
+UNRUN = frozenset((api.Result.FULL, api.Result.UNREACHED, api.Result.MOOT, api.Result.MOVED))
+
+
+class Decides(Protocol):
+    """What the model hosts."""
+
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]: ...
+
+
+class Baseline:
+    """Sends each request to one of its shard's nodes as soon as it comes."""
+
+    def __init__(self, settings: api.Settings, seed: int, rule: str) -> None:
+        self._settings, self._random, self._rule = settings, Random(seed), rule
+        self._nodes: dict[str, api.Entry] = {}
+        self._shards: dict[int, list[str]] = {}
+        self._all: list[str] = []
+        self._out: dict[str, int] = {}
+        self._turn = 0
+        self._open: dict[str, tuple[api.Arrived, int, bool]] = {}  # attempts made, whether it may have run
+
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
+        actions: list[api.Action] = []
+        for event in events:
+            if isinstance(event, api.Arrived):
+                self._open[event.request] = (event, 0, False)
+                self._send(event.request, actions)
+            elif isinstance(event, api.Ended):
+                self._ended(event, now_us, actions)
+            elif isinstance(event, api.Listed):
+                self._listed(event)
+            elif isinstance(event, api.Gone):
+                self._open.pop(event.request, None)
+        return actions
+
+    def _listed(self, event: api.Listed) -> None:
+        if event.kind is not api.ListKind.PATCH:
+            self._nodes = {}
+        for entry in event.entries:
+            self._nodes[entry.node] = entry
+        usable = [one for one in self._nodes.values() if one.condition is api.Condition.ACTIVE]
+        self._all, self._shards = [one.node for one in usable], {}
+        for one in usable:
+            self._shards.setdefault(one.shard, []).append(one.node)
+
+    def _pick(self, shard: int) -> str | None:
+        nodes = self._all if shard < 0 else self._shards.get(shard, [])
+        if not nodes:
+            return None
+        if self._rule == "round-robin":
+            self._turn += 1
+            return nodes[self._turn % len(nodes)]
+        if self._rule == "least":
+            return min(nodes, key=lambda node: self._out.get(node, 0))
+        if self._rule == "two-choices":
+            pair = (self._random.choice(nodes), self._random.choice(nodes))
+            return min(pair, key=lambda node: self._out.get(node, 0))
+        return self._random.choice(nodes)
+
+    def _send(self, request: str, actions: list[api.Action]) -> None:
+        event, made, ran = self._open[request]
+        node = self._pick(event.shard)
+        if node is None:
+            actions.append(api.Refuse(request, 0))
+            del self._open[request]
+            return
+        self._open[request] = (event, made + 1, ran)
+        self._out[node] = self._out.get(node, 0) + 1
+        actions.append(api.Send(request, node))
+
+    def _ended(self, event: api.Ended, now_us: int, actions: list[api.Action]) -> None:
+        self._out[event.node] = self._out.get(event.node, 1) - 1
+        held = self._open.get(event.request)
+        if held is None:
+            return
+        arrived, made, ran = held
+        if event.finished:
+            del self._open[event.request]
+            return
+        ran = ran or event.result not in UNRUN
+        self._open[event.request] = (arrived, made, ran)
+        safe = self._settings.classes[arrived.cls].semantics is api.Semantics.SAFE
+        if made < self._settings.max_attempts and now_us < arrived.deadline_us and (safe or not ran):
+            self._send(event.request, actions)
+            return
+        del self._open[event.request]
+        actions.append(api.Refuse(event.request, 0) if safe or not ran else api.Fail(event.request))
+
+
+def make(policy: str, settings: api.Settings, seed: int) -> Decides:
+    """The module, or a baseline by its name."""
+    return Scheduler(settings, seed) if policy == "module" else Baseline(settings, seed, policy)
--- /dev/null
+++ b/lemonridge/lab/model/outcome.py
@@ -0,0 +1,121 @@
+"""What a run came to: service, refusals, waste, reservations, limits, nodes pushed over; and its digest."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import orjson
+
+if TYPE_CHECKING:
+    from lemonridge.lab.model.node import Node
+    from lemonridge.lab.model.spec import Scenario
+    from lemonridge.lab.model.world import Request, World
+
+
+@dataclass(slots=True)
+class Line:
+    """One class's counts; times in milliseconds."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    lost: int = 0
+    took_ms: list[float] = field(default_factory=list)
+
+
+def _part(ordered: list[float], part: float) -> float:
+    return round(ordered[int(len(ordered) * part)], 3) if ordered else 0.0
+
+
+class Outcome:
+    """Counts as a run goes on; `figures` are what is compared."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self._scenario = scenario
+        self.lines = [Line() for _ in scenario.classes]
+        self.attempts = self.wasted = self.fallen = 0
+        self.troubles: dict[str, int] = {}
+        self.asked_units: dict[tuple[int, int], float] = {}  # (volume, second) -> units asked for
+        self.served_units: dict[tuple[int, int], float] = {}
+        self._buckets: dict[int, tuple[float, float]] = {}
+        self.over_limit = 0
+        self.cpu_us = 0.0
+        self.decided = 0
+
+    def asked(self, request: Request, now_us: float) -> None:
+        self.lines[request.cls].asked += 1
+        spot = (request.volume.number, int(now_us // 1_000_000))
+        self.asked_units[spot] = self.asked_units.get(spot, 0.0) + request.units
+
+    def sent(self, request: Request, number: int, node: Node, now_us: float) -> None:
+        self.attempts += 1
+        plan = self._scenario.plans[request.volume.plan]
+        if number or not plan.limit:
+            return
+        # The limit over all brokers: a store that fills at its rate, with the slack of a largest request.
+        top = max(plan.limit, 12.0)
+        level, at = self._buckets.get(request.volume.number, (top, now_us))
+        level = min(top, level + plan.limit * (now_us - at) / 1e6) - request.units
+        self._buckets[request.volume.number] = (level, now_us)
+        self.over_limit += level < -max(6.0, plan.limit * 0.1)
+
+    def served(self, request: Request, now_us: float) -> None:
+        line, row = self.lines[request.cls], self._scenario.classes[request.cls]
+        took = (now_us - request.born_us) / 1000
+        line.took_ms.append(took)
+        if took <= row.aim_ms:
+            line.in_time += 1
+            spot = (request.volume.number, int(request.born_us // 1_000_000))
+            self.served_units[spot] = self.served_units.get(spot, 0.0) + request.units
+        else:
+            line.late += 1
+
+    def turned(self, request: Request, end: str) -> None:
+        line = self.lines[request.cls]
+        setattr(line, end, getattr(line, end) + 1)
+
+    def close(self, world: World) -> None:
+        self.fallen = sum(node.fell for node in world.nodes.values())
+        self.cpu_us = sum(broker.cpu_s for broker in world.brokers) * 1e6
+        self.decided = sum(broker.decided for broker in world.brokers)
+
+    def reservations(self) -> float:
+        """The part of what was asked for within the reserves that was served in time; 1 where none is
+        held."""
+        due = met = 0.0
+        for (volume, second), asked in self.asked_units.items():
+            plan = self._scenario.plans[self._plan(volume)]
+            wanted = min(asked, plan.reserve)
+            due += wanted
+            met += min(wanted, self.served_units.get((volume, second), 0.0))
+        return met / due if due else 1.0
+
+    def _plan(self, volume: int) -> int:
+        place, total = (volume + 0.5) / self._scenario.volumes, 0.0
+        for index, row in enumerate(self._scenario.plans):
+            total += row.share
+            if place <= total + 1e-9:
+                return index
+        return len(self._scenario.plans) - 1
+
+    def figures(self) -> dict[str, float]:
+        """Everything that depends on the scenario and the seed alone."""
+        asked = sum(line.asked for line in self.lines)
+        rows = [(line, row.worth) for line, row in zip(self.lines, self._scenario.classes, strict=True)]
+        worth = sum(line.asked * weight for line, weight in rows)
+        in_time = sum(line.in_time * weight for line, weight in rows)
+        took = sorted(value for line in self.lines for value in line.took_ms)
+        return {
+            "asked": asked, "service": round(in_time / worth, 6) if worth else 0.0,
+            **{name: sum(getattr(line, name) for line in self.lines)
+               for name in ("in_time", "late", "refused", "failed", "lost")},
+            "attempts": self.attempts, "p50_ms": _part(took, 0.5), "p99_ms": _part(took, 0.99),
+            "reserves": round(self.reservations(), 6), "over_limit": self.over_limit, "fallen": self.fallen,
+        }  # fmt: skip
+
+    def digest(self) -> str:
+        return hashlib.sha256(orjson.dumps(self.figures(), option=orjson.OPT_SORT_KEYS)).hexdigest()[:16]
--- /dev/null
+++ b/lemonridge/lab/model/runs.py
@@ -0,0 +1,116 @@
+"""Runs of an experiment: each in a process of its own, its result in a file, so that a stop loses nothing.
+
+A worker that dies is named with its seed, and the rest goes on. The digest of an experiment is that of its
+runs' figures in their order, whatever the number of processes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from lemonridge.lab.model.spec import Experiment, combinations, load, read_scenario, vary
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One run: its place, the levels of its factors, its seed."""
+
+    index: int
+    levels: dict[str, Any]
+    seed: int
+
+    @property
+    def name(self) -> str:
+        return " ".join([*(f"{key}={value}" for key, value in self.levels.items()), f"seed={self.seed}"])
+
+
+def listed(experiment: Experiment) -> list[Run]:
+    """Every run; the seeds of one combination are those of every other, for paired differences."""
+    runs = [(levels, experiment.seed_base + number)
+            for levels in combinations(experiment) for number in range(experiment.seeds)]  # fmt: skip
+    return [Run(index, levels, seed) for index, (levels, seed) in enumerate(runs)]
+
+
+def one(path: str, index: int, seed_base: int | None) -> dict[str, Any]:
+    """Run one in this process."""
+    from lemonridge.lab.model.world import World
+
+    experiment = _based(load(path), seed_base)
+    run = listed(experiment)[index]
+    scenario = read_scenario(vary(experiment.scenario, run.levels), "scenario")
+    began = time.perf_counter()
+    out = World(scenario, run.seed).run()
+    return {
+        "levels": run.levels, "seed": run.seed, "policy": scenario.policy, "figures": out.figures(),
+        "digest": out.digest(), "took_s": round(time.perf_counter() - began, 3),
+        "cpu_us": round(out.cpu_us / max(1, sum(line.asked for line in out.lines)), 2),
+    }  # fmt: skip
+
+
+def _based(experiment: Experiment, seed_base: int | None) -> Experiment:
+    if seed_base is None:
+        return experiment
+    return Experiment(scenario=experiment.scenario, factors=experiment.factors, seeds=experiment.seeds,
+                      seed_base=seed_base)
+
+
+async def run_all(path: str, jobs: int, out: Path, seed_base: int | None,
+                  progress: Callable[[str], None]) -> tuple[list[dict[str, Any]], list[str]]:
+    """The results in their order, and the names of runs that died. What is in `out` already is not run
+    again."""
+    experiment = _based(load(path), seed_base)
+    runs = listed(experiment)
+    mark = hashlib.sha256(Path(path).read_bytes() + repr(seed_base).encode()).hexdigest()[:12]
+    out.mkdir(parents=True, exist_ok=True)
+    gate, died, done = asyncio.Semaphore(jobs), list[str](), 0
+
+    async def work(run: Run) -> dict[str, Any] | None:
+        nonlocal done
+        file = out / f"{mark}-{run.index:05}.json"
+        if not file.exists():
+            async with gate:
+                command = [sys.executable, "-m", "lemonridge", "lab", "one", path, str(run.index)]
+                if seed_base is not None:
+                    command += ["--seed-base", str(seed_base)]
+                process = await asyncio.create_subprocess_exec(
+                    *command, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+                told, error = await process.communicate()
+                if process.returncode:
+                    died.append(run.name)
+                    lines = error.decode(errors="replace").strip().splitlines() or ["no word"]
+                    progress(f"died ({process.returncode}): {run.name}: {lines[-1]}")
+                    return None
+                part = file.with_suffix(".part")
+                part.write_bytes(told)
+                part.rename(file)
+        done += 1
+        result: dict[str, Any] = orjson.loads(file.read_bytes())
+        progress(f"{done} of {len(runs)}: {run.name}: service {result['figures']['service']:.4f}")
+        return result
+
+    results = await asyncio.gather(*(work(run) for run in runs))
+    return [result for result in results if result is not None], died
+
+
+def digest(results: list[dict[str, Any]]) -> str:
+    return hashlib.sha256("".join(result["digest"] for result in results).encode()).hexdigest()[:16]
+
+
+def broken(results: list[dict[str, Any]]) -> int:
+    """Broken rules of the module's runs: sends past a limit, and cold nodes pushed over."""
+    return sum(int(result["figures"]["over_limit"]) + int(result["figures"]["fallen"])
+               for result in results if result["policy"] == "module")
+
+
+def read_results(folder: str) -> list[dict[str, Any]]:
+    """The results that lie in a folder, in their order."""
+    return [orjson.loads(file.read_bytes()) for file in sorted(Path(folder).glob("*.json"))]
--- /dev/null
+++ b/lemonridge/lab/model/world.py
@@ -0,0 +1,439 @@
+"""The modelled world: clients, brokers with late views, a register, a network, nodes, and what goes wrong.
+
+Events stand on SimPy's queue. Times are microseconds of the model; a run's outcome depends on its scenario
+and its seed alone. The one figure that does not is the CPU that the decisions take, which stays out of the
+digest.
+"""
+
+from __future__ import annotations
+
+import time
+from bisect import bisect_right
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from math import exp
+
+import simpy
+
+from lemonridge import api
+from lemonridge.lab.model.baselines import make
+from lemonridge.lab.model.node import Node, Work
+from lemonridge.lab.model.outcome import Outcome
+from lemonridge.lab.model.spec import ClassSpec, Scenario, Trouble
+from lemonridge.lab.model.streams import Stream, Streams
+
+SEMANTICS = {"safe": api.Semantics.SAFE, "keyed": api.Semantics.KEYED, "once": api.Semantics.ONCE}
+CONNECT_US = 250_000.0  # until a connect to a machine that is cut off is given up
+UNITS_TOP, UNITS_MEAN = 6, 3.5
+
+
+def work(row: ClassSpec, draw: Stream) -> float:
+    """A request's work in parts of its class's mean; every law draws the same numbers."""
+    normal, exponential = draw.normal(), draw.exponential()
+    if row.law == "exponential":
+        return exponential
+    return exp(row.spread * normal - row.spread**2 / 2) if row.law == "lognormal" else 1.0
+
+
+@dataclass(slots=True, eq=False)
+class Volume:
+    number: int
+    plan: int
+    shards: list[int]
+    hosts: list[int]
+    weight: float  # of the traffic
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A client's request; `again` counts its retries."""
+
+    name: str
+    volume: Volume
+    cls: int
+    shard: int
+    units: float
+    cost_us: float
+    born_us: float  # of its first try
+    deadline_us: float
+    broker: Broker
+    again: int = 0
+    answered: bool = False
+    attempts: dict[int, str] = field(default_factory=dict)  # under way: number -> node
+    made: int = 0
+
+
+class Broker:
+    """Hosts one scheduler; its events gather for a tick, as they do for a turn of the real one's loop."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number, self.up = world, number, True
+        self.scheduler = make(world.scenario.policy, world.settings, world.seed * 1009 + number)
+        self.open: dict[str, Request] = {}
+        self.events: list[api.Event] = []
+        self.cpu_s, self.decided, self.life = 0.0, 0, 0
+        self._due = False
+
+    def tell(self, event: api.Event) -> None:
+        self.events.append(event)
+        if not self._due:
+            self._due = True
+            life = self.life
+            self.world.after(float(self.world.scenario.tick_us), lambda: self._decide(life))
+
+    def _decide(self, life: int) -> None:
+        if life != self.life:
+            return
+        self._due = False
+        events, self.events = self.events, []
+        began = time.perf_counter()
+        actions = self.scheduler.handle(self.world.clock_us(), events)
+        self.cpu_s += time.perf_counter() - began
+        self.decided += len(events)
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.world.send(self, self.open.get(action.request), action.node)
+            elif isinstance(action, api.Refuse):
+                self.world.answer(self.open.get(action.request), "refused", action.backoff_us)
+            elif isinstance(action, api.Fail):
+                self.world.answer(self.open.get(action.request), "failed", 0)
+            elif isinstance(action, api.Cancel):
+                request = self.open.get(action.request)
+                if request is not None:
+                    self.world.ended(request, action.attempt, api.Result.CANCELLED, 0.0)
+            elif isinstance(action, api.Wake):
+                wait = max(0.0, action.at_us - self.world.now())
+                self.world.after(wait, partial(self._woke, life))
+
+    def _woke(self, life: int) -> None:
+        if life == self.life:
+            self.tell(api.Woke())
+
+    def restart(self) -> None:
+        """It knows nothing any more; what it held is lost to its clients until they ask again."""
+        self.life += 1
+        self.events, self._due = [], False
+        for request in list(self.open.values()):
+            self.world.answer(request, "lost", 0)
+        self.open.clear()
+        self.scheduler = make(self.world.scenario.policy, self.world.settings,
+                              self.world.seed * 1009 + self.number + 7919 * self.life)
+        self.up = True
+        self.tell(api.Listed(api.ListKind.WHOLE, self.world.entries()))
+
+
+class World:
+    """One run."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario, self.seed, self.streams = scenario, seed, Streams(seed)
+        self.env = simpy.Environment()
+        self.out = Outcome(scenario)
+        self.settings = self._settings()
+        self._names = 0
+        spec, draw = scenario.nodes, self.streams["speeds"]
+        self.shards = spec.count // spec.replicas
+        self.nodes = {f"n{number}": Node(f"n{number}", number % self.shards, number % 2, spec,
+                                         draw.between(spec.slowest, spec.fastest), self.streams["nodes"],
+                                         self.after) for number in range(spec.count)}  # fmt: skip
+        for node in self.nodes.values():
+            node.bind(self.now)
+        self.brokers = [Broker(self, number) for number in range(scenario.brokers)]
+        self.volumes = self._volumes()
+        self._weights: list[float] = []
+        self.surge, self.heavy, self.loss, self.blackout, self.hall = 1.0, 0.0, scenario.loss, False, False
+        self.heavy_times = 1.0
+        self._weigh()
+
+    # Time
+
+    def now(self) -> float:
+        return float(self.env.now)
+
+    def clock_us(self) -> int:
+        """The brokers' clock: the module wants whole microseconds past 0."""
+        return int(self.env.now) + 1_000_000_000
+
+    def after(self, delay_us: float, what: Callable[[], None]) -> None:
+        event = self.env.timeout(delay_us)
+        assert event.callbacks is not None
+        event.callbacks.append(lambda _: what())
+
+    def delay(self) -> float:
+        low, high = self.scenario.delay_ms
+        return self.streams["network"].between(low, high) * 1000
+
+    # What there is
+
+    def _settings(self) -> api.Settings:
+        s = self.scenario
+        classes = tuple(api.ClassInfo(int(row.aim_ms * 1000), int(row.deadline_ms * 1000),
+                                      SEMANTICS[row.semantics], api.Group.ALL, 3_000_000, False, row.worth)
+                        for row in s.classes)  # fmt: skip
+        plans = tuple(api.Plan(row.rate, row.reserve, row.weight, row.limit, max(row.limit, 2.0 * UNITS_TOP),
+                               0.0) for row in s.plans)  # fmt: skip
+        return api.Settings(
+            hosts=s.brokers, classes=classes, plans=plans, asks_list=False, units_top=float(UNITS_TOP),
+            units_mean=UNITS_MEAN, cold_units=s.nodes.cold_units, tip_multiple=s.nodes.tip_multiple,
+            tells_elsewhere=False, meter_us=0, max_attempts=4, may_cancel=True, max_backoff_us=500_000,
+            tick_us=s.tick_us, ask_within_us=0, cold_share=s.nodes.cold_share,
+            ramp_us=int(s.nodes.ramp_s * 1e6), fall_us=int(s.nodes.fall_s * 1e6), drain_grace_us=500_000,
+            look_back_us=0, free_resends=0.0, extra_ratio=0.0, key_rest_us=0)
+
+    def _volumes(self) -> list[Volume]:
+        draw, plans = self.streams["volumes"], self.scenario.plans
+        made = []
+        edges, total = [], 0.0
+        for row in plans:
+            total += row.share
+            edges.append(total)
+        for number in range(self.scenario.volumes):
+            place = (number + 0.5) / self.scenario.volumes
+            plan = next(index for index, edge in enumerate(edges) if place <= edge + 1e-9)
+            shards = [draw.below(self.shards) for _ in range(1 + draw.below(4))]
+            first = draw.below(self.scenario.brokers)
+            hosts = [(first + step) % self.scenario.brokers for step in range(self.scenario.hosts)]
+            made.append(Volume(number, plan, shards, hosts, plans[plan].rate * draw.between(0.5, 1.5)))
+        return made
+
+    def _weigh(self) -> None:
+        """The running sum of the volumes' parts of the traffic."""
+        total, self._weights = 0.0, []
+        for volume in self.volumes:
+            total += volume.weight
+            self._weights.append(total)
+
+    def entries(self) -> tuple[api.Entry, ...]:
+        return tuple(self._entry(node) for node in self.nodes.values() if node.up)
+
+    def _entry(self, node: Node, condition: api.Condition = api.Condition.ACTIVE) -> api.Entry:
+        started = int(node.started_us) + 1_000_000_000 if node.started_us >= 0 else 0
+        return api.Entry(node.name, node.shard, node.hall, condition, started)
+
+    def register(self, node: Node, condition: api.Condition) -> None:
+        """Every broker hears of a change, each in its own time; in a blackout none does."""
+        if self.blackout:
+            return
+        entry, draw = self._entry(node, condition), self.streams["register"]
+        for broker in self.brokers:
+            wait = draw.between(*self.scenario.register_ms) * 1000
+            self.after(wait, partial(broker.tell, api.Listed(api.ListKind.PATCH, (entry,))))
+
+    # A run
+
+    def run(self) -> Outcome:
+        for broker in self.brokers:
+            broker.tell(api.Listed(api.ListKind.STALE, self.entries()))
+        for trouble in self.scenario.troubles:
+            self.after(trouble.at_s * 1e6, partial(self._trouble, trouble))
+        if self.scenario.nodes.pause_every_s:
+            for node in self.nodes.values():
+                self._pause(node)
+        self.after(self._gap(), self._arrive)
+        longest = max(row.deadline_ms for row in self.scenario.classes)
+        self.env.run(until=self.scenario.seconds * 1e6 + longest * 2000 + 2e6)
+        self.out.close(self)
+        return self.out
+
+    def _gap(self) -> float:
+        return self.streams["arrivals"].exponential() * 1e6 / (self.scenario.rate() * self.surge)
+
+    def _pause(self, node: Node) -> None:
+        wait = self.streams["pauses"].exponential() * self.scenario.nodes.pause_every_s * 1e6
+
+        def begin() -> None:
+            node.pause(self.now(), self.scenario.nodes.pause_ms * 1000)
+            self._pause(node)
+
+        self.after(wait, begin)
+
+    def _arrive(self) -> None:
+        """The next client's request, drawn from streams that no decision touches."""
+        if self.now() >= self.scenario.seconds * 1e6:
+            return
+        self.after(self._gap(), self._arrive)
+        draw = self.streams["requests"]
+        volume = self.volumes[self._choose(draw.uniform())]
+        place, cls = draw.uniform(), 0
+        for row in self.scenario.classes:
+            if place < row.share:
+                break
+            place, cls = place - row.share, cls + 1
+        cls = min(cls, len(self.scenario.classes) - 1)
+        row = self.scenario.classes[cls]
+        units = 1.0 + draw.below(UNITS_TOP)
+        cost = row.work_ms * 1000 * work(row, draw) * units / UNITS_MEAN  # units tell of the work
+        cached, heavy = draw.uniform() < self.scenario.nodes.cached, draw.uniform() < self.heavy
+        cost *= (0.4 if cached else 1.0) * (self.heavy_times if heavy else 1.0)
+        shard = -1 if row.new else volume.shards[draw.below(len(volume.shards))]
+        host = volume.hosts[draw.below(len(volume.hosts))]
+        request = Request("", volume, cls, shard, units, cost, self.now(), 0.0, self.brokers[host])
+        self.out.asked(request, self.now())
+        self._ask(request)
+
+    def _choose(self, place: float) -> int:
+        return min(bisect_right(self._weights, place * self._weights[-1]), len(self._weights) - 1)
+
+    def _ask(self, request: Request) -> None:
+        """A try of a client at its broker."""
+        self._names += 1
+        request.name = f"r{self._names}"
+        row = self.scenario.classes[request.cls]
+        request.deadline_us = self.now() + row.deadline_ms * 1000
+        if not request.broker.up:
+            self.answer(request, "lost", 0)
+            return
+        request.broker.open[request.name] = request
+        request.broker.tell(api.Arrived(
+            request.name, request.shard, request.volume.number, int(request.deadline_us) + 1_000_000_000,
+            None, request.cls, request.volume.plan, request.units, len(request.volume.hosts)))  # fmt: skip
+
+    def answer(self, request: Request | None, end: str, backoff_us: int) -> None:
+        """A client's final answer to one try; it may try again."""
+        if request is None or request.answered:
+            return
+        request.answered = True
+        if not request.attempts:
+            request.broker.open.pop(request.name, None)
+        if end == "served":
+            self.out.served(request, self.now())
+            return
+        self.out.turned(request, end)
+        if request.again >= self.scenario.retries or end == "failed":
+            return
+        wait = max(float(backoff_us), self.scenario.retry_ms * 1000 * (1 + self.streams["retries"].uniform()))
+        after = replace(request, again=request.again + 1, answered=False, attempts={}, made=0)
+        self.after(wait, lambda: self._ask(after))
+
+    # Attempts
+
+    def send(self, broker: Broker, request: Request | None, name: str) -> None:
+        if request is None:
+            return
+        number = request.made
+        request.made += 1
+        request.attempts[number] = name
+        node = self.nodes[name]
+        self.out.sent(request, number, node, self.now())
+        wait = self.delay()
+        cut = self.hall and node.hall != broker.number % 2
+        if cut:
+            self.after(CONNECT_US, lambda: self.ended(request, number, api.Result.UNREACHED, CONNECT_US))
+            return
+        if self.streams["loss"].uniform() >= self.loss:
+            self.after(wait, lambda: self._reach(request, number, node, wait))
+        left = max(0.0, request.deadline_us - self.now())
+        self.after(left, lambda: self.ended(request, number, api.Result.TIMEOUT, left))
+
+    def _reach(self, request: Request, number: int, node: Node, wait: float) -> None:
+        began = self.now() - wait
+
+        def told(result: api.Result) -> None:
+            back = self.delay()
+            self.after(back, lambda: self.ended(request, number, result, self.now() - began))
+
+        if not node.up:
+            told(api.Result.UNREACHED)
+            return
+        life = node.life
+        if not node.offer(self.now(), Work(request.cost_us, lambda: told(api.Result.OK))):
+            told(api.Result.FULL if node.up else api.Result.RESET)
+            return
+        request.attempts[number] = f"{node.name}/{life}"
+
+    def ended(self, request: Request, number: int, result: api.Result, lag_us: float) -> None:
+        """An attempt's end comes to its broker, once."""
+        where = request.attempts.pop(number, None)
+        if where is None:
+            return
+        broker = request.broker
+        served = result is api.Result.OK and not request.answered
+        if served:
+            self.answer(request, "served", 0)
+        broker.tell(api.Ended(request.name, number, where.partition("/")[0], result, int(lag_us),
+                              request.answered, None, None, None))  # fmt: skip
+        if request.answered and not request.attempts:
+            broker.open.pop(request.name, None)
+
+    def _lost(self, node: Node) -> None:
+        """A node dies: the attempts that it held are reset."""
+        for broker in self.brokers:
+            for request in list(broker.open.values()):
+                for number, where in list(request.attempts.items()):
+                    if where.startswith(f"{node.name}/"):
+                        told = partial(self.ended, request, number, api.Result.RESET, 1000.0)
+                        self.after(self.delay(), told)
+
+    # Troubles
+
+    def _trouble(self, trouble: Trouble) -> None:
+        span, draw = trouble.for_s * 1e6, self.streams["troubles"]
+        self.out.troubles[trouble.kind] = self.out.troubles.get(trouble.kind, 0) + 1
+        if trouble.kind == "surge":
+            self.surge *= trouble.times
+            self.after(span, lambda: self._set("surge", self.surge / trouble.times))
+        elif trouble.kind == "heavy":
+            self.heavy, self.heavy_times = trouble.share, trouble.times
+            self.after(span, lambda: self._set("heavy", 0.0))
+        elif trouble.kind == "loss":
+            self.loss = trouble.share
+            self.after(span, lambda: self._set("loss", self.scenario.loss))
+        elif trouble.kind in ("blackout", "hall"):
+            self._set(trouble.kind, True)
+            self.after(span, lambda: self._set(trouble.kind, False))
+        elif trouble.kind == "hot":
+            hot = self.volumes[: max(1, int(len(self.volumes) * trouble.share))]
+            self._heat(hot, trouble.times)
+            self.after(span, lambda: self._heat(hot, 1 / trouble.times))
+        elif trouble.kind == "restart":
+            for broker in self.brokers[: max(1, int(len(self.brokers) * trouble.share))]:
+                self._down(broker)
+                self.after(span, broker.restart)
+        else:
+            count = max(1, int(len(self.nodes) * trouble.share))
+            order = sorted(self.nodes.values(), key=lambda node: (draw.uniform(), node.name))
+            for place, node in enumerate(order[:count]):
+                self._hit(trouble, node, place / count * span, span)
+
+    def _hit(self, trouble: Trouble, node: Node, turn: float, span: float) -> None:
+        if trouble.kind == "gray":
+            node.slow = trouble.times
+            self.after(span, lambda: setattr(node, "slow", 1.0))
+        elif trouble.kind == "deaths":
+            self._kill(node)
+            self.after(span, lambda: self._start(node))
+        else:  # a rolling deploy: each drains for a second, is gone, and comes back cold
+            def drain() -> None:
+                self.register(node, api.Condition.LEAVING)
+                self.after(1e6, gone)
+
+            def gone() -> None:
+                self._kill(node)
+                self.after(2e6, lambda: self._start(node))
+
+            self.after(turn, drain)
+
+    def _set(self, name: str, value: object) -> None:
+        setattr(self, name, value)
+
+    def _heat(self, volumes: list[Volume], times: float) -> None:
+        for volume in volumes:
+            volume.weight *= times
+        self._weigh()
+
+    def _down(self, broker: Broker) -> None:
+        broker.up = False
+        for request in list(broker.open.values()):
+            self.answer(request, "lost", 0)
+
+    def _kill(self, node: Node) -> None:
+        if node.up:
+            node.die()
+            self._lost(node)
+            self.register(node, api.Condition.LEFT)
+
+    def _start(self, node: Node) -> None:
+        node.start(self.now())
+        if node.up:
+            self.register(node, api.Condition.ACTIVE)
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,205 @@
+"""The model: against closed forms, the same to the byte, and each trouble felt."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from math import exp, factorial
+from pathlib import Path
+from unittest import mock
+
+import pytest
+import simpy
+
+from lemonridge import api
+from lemonridge.config import ConfigError
+from lemonridge.lab.bench_decisions import cost_us
+from lemonridge.lab.model import runs, spec
+from lemonridge.lab.model.baselines import Baseline
+from lemonridge.lab.model.node import Node, Work
+from lemonridge.lab.model.report import paired, plot
+from lemonridge.lab.model.spec import ClassSpec, NodeSpec, Scenario, read_scenario
+from lemonridge.lab.model.streams import Streams
+from lemonridge.lab.model.world import World, work
+
+ROOT = Path(__file__).resolve().parent.parent
+SMOKE = ROOT / "lab" / "smoke.toml"
+
+
+def scenario(**changes: object) -> Scenario:
+    held = spec.load(str(SMOKE)).scenario
+    return read_scenario(spec.vary({**held, "troubles": [], "seconds": 6}, changes))
+
+
+# Against closed forms, with no broker before the node
+
+
+def sojourn(cores: int, load: float, law: str, jobs: int = 60_000) -> float:
+    """The mean time of a job at a node, in parts of its mean work: Poisson arrivals, an endless queue."""
+    env, streams = simpy.Environment(), Streams(7)
+    row = ClassSpec(name="x", share=1, work_ms=1, aim_ms=1, deadline_ms=1, law=law, spread=0.8)
+
+    def after(delay: float, what: object) -> None:
+        env.timeout(delay).callbacks.append(lambda _: what())  # type: ignore[operator]
+
+    node = Node("n", 0, 0, NodeSpec(count=1, cores=cores, queue=100_000), 1.0, streams["n"], after)
+    node.bind(lambda: env.now)
+    times: list[float] = []
+    arrivals, draws = streams["arrivals"], streams["work"]
+
+    def arrive() -> None:
+        if len(times) + node.held < jobs:
+            after(arrivals.exponential() / (load * cores), arrive)
+            began = env.now
+            node.offer(env.now, Work(work(row, draws), lambda: times.append(env.now - began)))
+
+    arrive()
+    env.run()
+    return sum(times[jobs // 10 :]) / len(times[jobs // 10 :])
+
+
+def erlang_c(cores: int, load: float) -> float:
+    """The chance that a job waits in M/M/c (Erlang, 1917)."""
+    offered = load * cores
+    top = offered**cores / factorial(cores) / (1 - load)
+    return top / (sum(offered**k / factorial(k) for k in range(cores)) + top)
+
+
+@pytest.mark.parametrize("load", [0.3, 0.6, 0.8])
+def test_one_core_is_m_m_1(load: float) -> None:
+    assert sojourn(1, load, "exponential") == pytest.approx(1 / (1 - load), rel=0.07)
+
+
+@pytest.mark.parametrize("cores, load", [(2, 0.5), (4, 0.8), (8, 0.9)])
+def test_several_cores_are_m_m_c(cores: int, load: float) -> None:
+    want = 1 + erlang_c(cores, load) / (cores * (1 - load))
+    assert sojourn(cores, load, "exponential") == pytest.approx(want, rel=0.07)
+
+
+@pytest.mark.parametrize("law, second", [("fixed", 1.0), ("lognormal", exp(0.64))])
+def test_other_laws_are_m_g_1(law: str, second: float) -> None:
+    """Pollaczek and Khinchine, with the second moment of the work."""
+    load = 0.7
+    assert sojourn(1, load, law) == pytest.approx(1 + load * second / (2 * (1 - load)), rel=0.08)
+
+
+# The same to the byte
+
+
+def test_a_seed_gives_one_outcome_and_another_seed_another() -> None:
+    first, again, other = (World(scenario(), seed).run() for seed in (3, 3, 4))
+    assert first.figures() == again.figures() and first.digest() == again.digest() != other.digest()
+
+
+def test_what_clients_ask_for_does_not_depend_on_what_decides() -> None:
+    asked = [World(scenario(policy=policy), 5).run().asked_units for policy in ("module", "random", "least")]
+    assert asked[0] == asked[1] == asked[2] and sum(asked[0].values()) > 500
+
+
+def test_runs_over_processes_resume_and_name_the_dead(tmp_path: Path) -> None:
+    text = SMOKE.read_text().replace("seconds = 8", "seconds = 2").replace("[0.5, 0.9]", "[0.5]")
+    file, out, told = tmp_path / "e.toml", tmp_path / "out", list[str]()
+    file.write_text(text)
+    first, died = asyncio.run(runs.run_all(str(file), 3, out, None, told.append))
+    assert (len(first), died) == (4, []) and runs.broken(first) == 0
+    kept = sorted(out.glob("*.json"))
+    kept[1].unlink()
+    again, _ = asyncio.run(runs.run_all(str(file), 1, out, None, told.append))
+    assert runs.digest(again) == runs.digest(first) and len(sorted(out.glob("*.json"))) == 4
+    alone = [runs.one(str(file), index, None)["digest"] for index in range(4)]
+    assert alone == [result["digest"] for result in first]
+    other, _ = asyncio.run(runs.run_all(str(file), 2, out, 9, told.append))
+    assert runs.digest(other) != runs.digest(first)
+    kept[0].unlink()
+    with mock.patch.object(sys, "executable", "/bin/false"):
+        left, died = asyncio.run(runs.run_all(str(file), 2, out, None, told.append))
+    assert len(left) == 3 and died == ["policy=module load=0.5 seed=1"]
+    figures = paired(first[:2], [{**result, "levels": first[0]["levels"]} for result in first[2:]], "service")
+    assert figures["pairs"] == 2 and figures["low"] <= figures["mean"] <= figures["high"]
+    plot(first, "load", "service", str(tmp_path / "p.svg"), by="policy")
+    assert (tmp_path / "p.svg").read_text().startswith("<?xml")
+
+
+# Each trouble is felt
+
+
+TROUBLES = {
+    "deaths": {"share": 0.4}, "deploy": {"share": 0.9, "for_s": 3}, "surge": {"times": 3},
+    "gray": {"times": 12},
+    "hot": {"share": 0.05, "times": 30}, "loss": {"share": 0.3}, "restart": {"share": 0.5},
+    "hall": {}, "heavy": {"share": 0.3, "times": 10},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", TROUBLES)
+def test_a_trouble_costs_service(kind: str) -> None:
+    calm = World(scenario(), 2).run().figures()
+    trouble = {"kind": kind, "at_s": 1, "for_s": 3, **TROUBLES[kind]}
+    out = World(scenario(troubles=[trouble]), 2).run()
+    assert out.troubles == {kind: 1}
+    assert out.figures()["service"] < calm["service"] - 0.01
+    assert out.figures()["over_limit"] == out.figures()["fallen"] == 0
+
+
+def test_a_blackout_of_the_register_hides_deaths() -> None:
+    deaths = {"kind": "deaths", "at_s": 1, "for_s": 4, "share": 0.4}
+    dark = {"kind": "blackout", "at_s": 0.5, "for_s": 5}
+    seen, hidden = (World(scenario(troubles=troubles), 2) for troubles in ([deaths], [dark, deaths]))
+    seen.run()
+    hidden.run()
+    condition = api.Condition.ACTIVE
+    assert any(node.condition is not condition for node in seen.brokers[0].scheduler.nodes.values()) or \
+        len(seen.brokers[0].scheduler.nodes) <= len(hidden.brokers[0].scheduler.nodes)
+
+
+def test_a_cold_node_falls_under_what_a_warm_one_bears() -> None:
+    """Sent at once, as a baseline does it, and not by the module."""
+    trouble = {"kind": "deaths", "at_s": 1, "for_s": 1, "share": 0.3}
+    changes = {"troubles": [trouble], "load": 0.9, "nodes.ramp_s": 17, "nodes.cold_share": 0.1,
+               "retries": 3}
+    assert World(scenario(policy="random", **changes), 1).run().figures()["fallen"] > 0
+    assert World(scenario(policy="module", **changes), 1).run().figures()["fallen"] == 0
+
+
+# Bad files, and the rest
+
+
+@pytest.mark.parametrize("old, new, word", [
+    ("brokers = 4", "broker = 4", "unknown key scenario.broker"),
+    ("share = 0.7\nwork", "share = 0.9\nwork", "classes"),
+    ("count = 10", "count = 0", "scenario.nodes.count"), ("seconds = 8", "seconds = 3600", None),
+    ("brokers = 4", "brokers = 1", "hosts"), ('"two-choices"', '"best"', "scenario.policy"),
+    ("[0.5, 0.9]", "[0.5, 99]", "scenario.load"),
+    ('kind = "deaths"', 'kind = "death"', "scenario.troubles[0].kind"),
+    ("count = 10", "count = 100000", "too many"),
+])
+def test_a_bad_file_is_refused_by_its_key(old: str, new: str, word: str | None, tmp_path: Path) -> None:
+    text = SMOKE.read_text()
+    assert old in text
+    file = tmp_path / "e.toml"
+    file.write_text(text.replace(old, new, 1))
+    if word is None:
+        spec.load(str(file))
+        return
+    with pytest.raises(ConfigError) as caught:
+        spec.load(str(file))
+    assert word in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_the_baselines_pick_by_their_rules() -> None:
+    settings = World(scenario(), 1).settings
+    entries = tuple(api.Entry(f"n{n}", 0, 0, api.Condition.ACTIVE, 0) for n in range(4))
+    for rule, want in (("round-robin", {1}), ("least", {1}), ("two-choices", None), ("random", None)):
+        held = Baseline(settings, 1, rule)
+        held.handle(0, [api.Listed(api.ListKind.WHOLE, entries)])
+        arrivals = [api.Arrived(f"r{n}", 0, 0, 10**6, None, 0, 0, 1.0, 1) for n in range(4)]
+        sends = [one.node for one in held.handle(1, arrivals) if isinstance(one, api.Send)]
+        assert len(sends) == 4
+        if want is not None:
+            assert {sends.count(f"n{n}") for n in range(4)} == want
+    refused = held.handle(2, [api.Ended("r0", 0, sends[0], api.Result.RESET, 1, False, None, None, None)])
+    assert [type(one) for one in refused] == [api.Send]
+
+
+def test_the_cost_of_a_decision_is_measured() -> None:
+    assert cost_us(8, 1, requests=500) > 0
