--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -40,6 +40,7 @@
 CROWD_CUT = 16.0  # the deepest single cut at a crowded node: drains a full queue against losing room
 IDLE_US = 30_000_000  # entries of idle volumes live this long
 FEW = 8  # up to so many hosts, one request or try of each floods no node: load against late discovery
+CHOICES = 32  # up to so many nodes, all are looked at for a new object: the best against the cost of looking
 RETRY_US = 20_000  # first pause before a further attempt, doubled for each later one
 ASK_US = 250_000  # first pause after a failed call for the list, doubled up to the limit below
 ASK_TOP_US = 8_000_000  # where the settings do not say how often to ask
@@ -74,6 +75,7 @@
 
     def __init__(self, volume: Volume, shard: int) -> None:
         self.volume, self.shard, self.tag = volume, shard, 0.0
+        self.ringed = self.parked = False  # in its shard's rotation, or out of it until its limit has room
         self.line: deque[Request] = deque()
 
 
@@ -152,6 +154,7 @@
         self.volumes: dict[int, Volume] = {}
         self.nodes: dict[str, Node] = {}
         self.shards: dict[int, list[Node]] = {}
+        self.order: list[Node] = []  # those that were listed, for a choice at random
         self.usual: defaultdict[int, Usual] = defaultdict(lambda: Usual(self.born or 0))
         self.rings: dict[int, deque[Lane]] = {}  # the rotation of each shard
         self.clocks: dict[int, float] = {}  # the second pass's virtual time, by shard
@@ -160,6 +163,7 @@
         self.timers: list[tuple[int, int, str, object]] = []
         self.count = 0
         self.wake_us: int | None = None
+        self.cycle_us = 0  # when every waiting lane is visited next
         # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
         self.tightest = min(cls.aim_us for cls in settings.classes)
         self.longest = [0] * len(settings.classes)  # longest wait seen granted, by class
@@ -202,6 +206,8 @@
                 self._configured(event.settings)
         if self.wake_us is not None and self.wake_us <= now_us:
             self.wake_us = None
+        if self.rings and now_us >= self.cycle_us:  # not at every timer: there is one for each attempt
+            self.cycle_us = now_us + CYCLE_US
             self.touched.update(dict.fromkeys(self.rings))
         self._run_timers()
         for shard in list(self.touched):
@@ -261,9 +267,6 @@
         if lane is None:
             lane = volume.lanes[shard] = Lane(volume, shard)
         if not lane.line:
-            ring = self.rings.setdefault(shard, deque())
-            if lane not in ring:
-                ring.append(lane)
             lane.tag = max(lane.tag, self.clocks.get(shard, 0.0))
         if volume.waiting == 0:
             self._credit(volume, False)
@@ -272,7 +275,15 @@
         # A class with a long aim must not keep one with a short aim from being in time: the aim that
         # passes first leaves first, and within a class this is the order of arrival.
         insort(lane.line, r, key=_due)
-        self.touched[shard] = None
+        self._ring(lane)
+
+    def _ring(self, lane: Lane) -> None:
+        """Put a lane into its shard's rotation."""
+        lane.parked = False
+        if not lane.ringed:
+            lane.ringed = True
+            self.rings.setdefault(lane.shard, deque()).append(lane)
+        self.touched[lane.shard] = None
 
     def _ended(self, event: Ended) -> None:
         flight = self.flights.pop((event.request, event.attempt), None)
@@ -448,8 +459,7 @@
             return
         for lane in list(ring):
             self._weed(lane)
-            if not lane.line:
-                ring.remove(lane)
+        ring = self._clear(shard)
         node = self._pick(shard)
         for _ in range(len(ring)):
             if node is None:
@@ -459,7 +469,7 @@
             self._credit(lane.volume)
             while node is not None and lane.volume.balance >= 0 and self._send_head(lane, node):
                 node = self._pick(shard)
-        waiting = [lane for lane in ring if lane.line]
+        waiting = [lane for lane in ring if lane.line and not lane.parked]
         while node is not None and waiting:
             lane = min(waiting, key=_tag)
             units = self._send_head(lane, node)
@@ -471,10 +481,24 @@
                 if lane.line:
                     continue
             waiting.remove(lane)
-        for lane in [lane for lane in ring if not lane.line]:
-            ring.remove(lane)
+        self._clear(shard)
+
+    def _clear(self, shard: int) -> deque[Lane]:
+        """The rotation without lanes that are empty or parked: their number must cost nothing a cycle."""
+        ring = self.rings.get(shard, deque())
+        if any(not lane.line or lane.parked for lane in ring):
+            for lane in ring:
+                lane.ringed = bool(lane.line) and not lane.parked
+            ring = self.rings[shard] = deque(lane for lane in ring if lane.ringed)
         if not ring:
-            del self.rings[shard]
+            self.rings.pop(shard, None)
+        return ring
+
+    def _park(self, lane: Lane, node: Node, wait_us: int) -> None:
+        """Nothing of a lane can be sent before its limit has room, or its first request is past its time."""
+        lane.parked = True
+        at = min(self.now + wait_us, lane.line[0].due - int(node.lag))
+        self._timer(max(self.now + CYCLE_US, at), "unpark", lane)
 
     def _weed(self, lane: Lane, node: Node | None = None) -> None:
         """Answer at once what can no longer be in time, so that what can be goes first.
@@ -517,7 +541,8 @@
         r, volume = max(lane.line, key=_worth), lane.volume
         if self._cold_wait(node, r):
             return 0.0
-        if volume.plan.limit and not r.drawn and volume.wait_us(r.units, self.now):
+        if volume.plan.limit and not r.drawn and (wait := volume.wait_us(r.units, self.now)):
+            self._park(lane, node, wait)
             return 0.0
         if not self._may_send(r, node):
             if r.sent:
@@ -564,7 +589,7 @@
     def _pick(self, shard: int) -> Node | None:
         """The usable node of the shard with the most room (any node for a new object)."""
         best, room = None, 0.0
-        for node in self.nodes.values() if shard < 0 else self.shards.get(shard, ()):
+        for node in self._choices() if shard < 0 else self.shards.get(shard, ()):
             if node.condition is not Condition.ACTIVE:
                 continue
             free = node.window - node.open
@@ -578,6 +603,13 @@
                 best, room = node, free
         return best
 
+    def _choices(self) -> Iterable[Node]:
+        """The nodes for a new object: all of a few, some at random of many (Mitzenmacher, "The Power of Two
+        Choices in Randomized Load Balancing", 2001), so that a choice costs alike however many there are."""
+        if len(self.nodes) <= CHOICES:
+            return self.nodes.values()
+        return [self.order[int(self.random.random() * len(self.order))] for _ in range(CHOICES // 2)]
+
     def _suspect(self, node: Node) -> bool:
         """Silence against its own usual answer time, or connects that fail."""
         if node.unreached:
@@ -684,7 +716,7 @@
             for node in self.nodes.values():
                 if node.id not in named and node.condition is not Condition.LEFT:
                     node.condition = Condition.LEFT
-        self.shards = {}
+        self.shards, self.order = {}, list(self.nodes.values())
         for name, node in list(self.nodes.items()):
             if node.condition is Condition.LEFT and not node.open:
                 del self.nodes[name]
@@ -728,6 +760,9 @@
                     self.rests.pop(what, None)
                     if what in self.keys:
                         self._free_key(self.keys[what][0])
+            elif isinstance(what, Lane):
+                if what.parked:
+                    self._ring(what)
             elif isinstance(what, Request) and not what.done:
                 if kind == "deadline" and not what.started:
                     self._give_up(what)
@@ -748,8 +783,8 @@
     def _ask_wake(self) -> None:
         """One timer, for the next thing that time alone will change."""
         at = self.timers[0][0] if self.timers else None
-        if self.rings and (at is None or at > self.now + CYCLE_US):
-            at = self.now + CYCLE_US
+        if self.rings and (at is None or at > self.cycle_us):
+            at = self.cycle_us
         if at is not None and (self.wake_us is None or at < self.wake_us):
             self.wake_us = max(at, self.now + 1)
             self.actions.append(Wake(self.wake_us))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -749,3 +749,66 @@
     request = rig.ask(cls=2)
     rig.end(request, api.Result.MOVED)
     assert finals(rig.pass_time(2_100_000)) == {request: api.Refuse}
+
+
+# What waits must not cost
+
+
+def test_a_lane_that_waits_for_its_limit_is_left_alone_until_it_has_room(make):
+    """It leaves the rotation, comes back by its timer, and is sent as soon as the bucket holds it."""
+    rig = make(hosts=1)
+    rig.pass_time(4_000_000)
+    for _ in range(5):
+        name = rig.ask(plan=1, units=8.0)
+        assert rig.sent() == [name]
+        rig.end(name)
+    waits = rig.ask(plan=1, units=8.0)
+    volume = rig.policy.volumes[1]
+    lane = volume.lanes[0]
+    assert not rig.sent() and lane.parked and not rig.policy.rings
+    weighed = []
+    was = rig.policy._weed
+    rig.policy._weed = lambda lane, node=None: (weighed.append(lane), was(lane, node))
+    for _ in range(10):
+        rig.end(rig.ask(volume=2))
+    assert lane not in weighed
+    assert waits not in sends(rig.pass_time(150_000))
+    assert waits in sends(rig.pass_time(80_000))
+
+
+def test_a_parked_lane_is_still_answered_when_it_is_too_late(make):
+    """The bucket would have room in time, but another takes it first."""
+    rig = make(hosts=1)
+    rig.pass_time(4_000_000)
+    for _ in range(5):
+        rig.end(rig.ask(plan=1, units=8.0))
+    waits = rig.ask(plan=1, units=8.0)
+    volume = rig.policy.volumes[1]
+    assert volume.lanes[0].parked
+    volume.level -= 30.0  # as a refund that is taken back
+    seen = rig.pass_time(400_000)
+    assert finals(seen) == {waits: api.Refuse} and not volume.waiting and not volume.lanes[0].line
+
+
+def test_lanes_wait_together_and_are_visited_once_in_a_cycle(rig):
+    """Timers of attempts in between visit nothing."""
+    for volume in range(40):
+        rig.ask(volume=volume, shard=volume % 2)
+    visits = []
+    was = rig.policy._cycle
+    rig.policy._cycle = lambda shard: (visits.append(shard), was(shard))
+    for _ in range(100):
+        rig.now += 100
+        rig.do(api.Woke())
+    assert len(visits) <= 2 * len(rig.policy.rings) + 2
+
+
+def test_many_nodes_are_chosen_from_at_random_and_few_all(make):
+    rig = make(hosts=1)
+    rig.listed(*((f"n{n}", n) for n in range(400)), kind=ListKind.WHOLE)
+    chosen = {rig.policy._pick(-1).id for _ in range(300)}
+    assert len(chosen) > 100
+    looked = list(rig.policy._choices())
+    assert len(looked) == 16
+    rig.listed(*((f"n{n}", n) for n in range(20)), kind=ListKind.WHOLE)
+    assert len(list(rig.policy._choices())) >= 20
