--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -88,6 +88,18 @@
     return conform(options)
 
 
+def _demo(options: argparse.Namespace) -> int:
+    from lemonridge.lab.command import demo
+
+    return demo(options)
+
+
+def _load_tool(options: argparse.Namespace) -> int:
+    from lemonridge.lab.command import load
+
+    return load(options)
+
+
 def _lab(options: argparse.Namespace) -> int:
     from lemonridge.lab.command import lab
 
@@ -135,6 +147,21 @@
     conform.add_argument("--seed", type=int, default=1)
     conform.add_argument("--json", action="store_true", help="every result as a line of JSON")
     conform.set_defaults(run=_conform)
+    demo = commands.add_parser("demo", help="the broker at work before stand-in nodes, one of which dies")
+    demo.add_argument("--seconds", type=float, default=20.0)
+    demo.set_defaults(run=_demo)
+    load = commands.add_parser("load", help="open-loop load on a front, on loopback")
+    load.add_argument("name", choices=("iscsi",))
+    load.add_argument("--target", metavar="HOST:PORT", help="where; else before a stand-in node")
+    load.add_argument("--iqn", default="iqn.2026-12.org.lemonridge:store")
+    load.add_argument("--rate", type=float, default=200.0, help="commands a second")
+    load.add_argument("--seconds", type=float, default=10.0)
+    load.add_argument("--size-kib", type=int, default=4)
+    load.add_argument("--writes", type=float, default=0.3, help="their share")
+    load.add_argument("--arrivals", choices=("poisson", "even", "bursty"), default="poisson")
+    load.add_argument("--seed", type=int, default=1)
+    load.add_argument("--hdr", metavar="FILE", help="write the times as HdrHistograms, a line a kind")
+    load.set_defaults(run=_load_tool)
     _lab_parser(commands.add_parser("lab", help="try designs in a model, at sizes that sockets don't reach"))
     version = commands.add_parser("version", help="print the version")
     version.set_defaults(run=_version)
--- a/lemonridge/extents/map.py
+++ b/lemonridge/extents/map.py
@@ -257,6 +257,9 @@
         other._volumes = {number: volume.copy() for number, volume in self._volumes.items()}
         return other
 
+    def volumes(self) -> list[int]:
+        return list(self._volumes)
+
     def blocks(self, volume: int) -> int:
         """The size of a volume; 0 if the map has none of it."""
         held = self._volumes.get(volume)
--- a/lemonridge/extents/router.py
+++ b/lemonridge/extents/router.py
@@ -44,6 +44,7 @@
         self.map, self.standing = ExtentMap(extents_max), Standing()
         self.read: Reader | None = None  # how the source is asked about single extents
         self.keeper: Keeper | None = None
+        self.resized: Callable[[list[int]], None] = lambda volumes: None  # whose sizes have changed
         self._clock, self._directory = clock, directory
         self._refreshes = Refreshes()
         self._waiters: dict[int, asyncio.Future[None]] = {}
@@ -72,6 +73,7 @@
 
     def take(self, version: int, builder: Builder, confirmed: bool = True) -> bool:
         """The same from a builder."""
+        sizes = {volume: self.map.blocks(volume) for volume in self.map.volumes()}
         try:
             self.map.take(version, builder)
         except MapError as error:
@@ -85,10 +87,18 @@
                 self.keeper.whole(self.map)
         for spot in list(self._open):
             self._tell(spot)
+        self._sizes(sizes)
         return True
 
+    def _sizes(self, before: dict[int, int]) -> None:
+        changed = [volume for volume, blocks in before.items() if self.map.blocks(volume) != blocks]
+        if changed:
+            self.resized(changed)
+
     def change(self, change: Change) -> Fit:
         """Take a change. After a gap, or one that does not fit, the source must bring the whole map."""
+        touched = {extent.volume for extent in change.extents} | {volume for volume, _ in change.dropped}
+        sizes = {volume: self.map.blocks(volume) for volume in touched if self.map.blocks(volume)}
         fit, why = self.map.apply(change)
         self.counters[f"map.{fit.value}"] += 1
         if fit is Fit.APPLIED:
@@ -96,6 +106,7 @@
                 self.keeper.change(change)
             for extent in change.extents:
                 self._tell((extent.volume, extent.first))
+            self._sizes(sizes)
         elif fit is not Fit.STALE:
             log.warning("change refused", extra={"fit": fit.value, "version": change.version, "error": why})
         return fit
--- a/lemonridge/iscsi/config.py
+++ b/lemonridge/iscsi/config.py
@@ -100,6 +100,7 @@
     ping_s: float
     login_failures: int
     power_on_attention: bool
+    reservations: str | None
     node_wishes: Wishes
     node_account: Account | None
 
@@ -210,6 +211,7 @@
         ping_s=front.ping_s,
         login_failures=front.login_failures,
         power_on_attention=front.power_on_attention,
+        reservations=front.reservations,
         node_wishes=Wishes(digests=told.initiator.digests, initial_r2t=True),
         node_account=(_account(accounts, told.initiator.chap, "initiator.chap")
                       if told.initiator.chap else None),
--- a/lemonridge/iscsi/device.py
+++ b/lemonridge/iscsi/device.py
@@ -13,11 +13,13 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.config import Iscsi
 from lemonridge.iscsi.pdu import pack_lun
-from lemonridge.iscsi.reservations import Attention, Done, Effect, Refusal, Reservations
+from lemonridge.iscsi.reservation_file import ReservationFile
+from lemonridge.iscsi.reservations import Action, Attention, Done, Effect, Refusal, Reservations
 
 ATTENTIONS_MAX = 8  # that wait for one nexus and LUN; past it the newest is left out, as SAM-5 allows
 POWER_ON, RESET, CLEARED, LUNS_CHANGED, CAPACITY_CHANGED = (
@@ -72,11 +74,13 @@
 class Device:
     """Every logical unit of the front. `state` tells a LUN's asymmetric access state."""
 
-    def __init__(self, config: Iscsi, state: Callable[[int], int], abort: Callable[[str, int], None]) -> None:
-        """`abort` ends the commands of a nexus at a LUN, for PREEMPT AND ABORT."""
+    def __init__(self, config: Iscsi, state: Callable[[int], int], abort: Callable[[str, int], None],
+                 keeper: ReservationFile | None = None) -> None:
+        """`abort` ends the commands of a nexus at a LUN, for PREEMPT AND ABORT; `keeper` is the disk."""
+        self._keeper = keeper
         self.config, self._state, self._abort = config, state, abort
         self.nexuses: set[Nexus] = set()
-        self.reservations: dict[int, Reservations] = {}
+        self.reservations: dict[int, Reservations] = keeper.load() if keeper is not None else {}
         self._fixed = {lun: self._identity(lun) for lun in config.luns}
 
     def local(self, nexus: Nexus, command: scsi.Command) -> Reply | None:
@@ -267,8 +271,10 @@
 
     def _reserve_in(self, command: scsi.Command) -> Reply:
         held = self.reservations.get(command.lun) or Reservations()
-        made = {0: held.read_keys, 1: held.read_reservation, 2: held.capabilities,
-                3: held.read_full_status}.get(command.cdb[1] & 0x1F)  # fmt: skip
+        parts: dict[int, Callable[[], bytes]] = {
+            0: held.read_keys, 1: held.read_reservation, 3: held.read_full_status,
+            2: partial(held.capabilities, self._keeper is not None)}  # fmt: skip
+        made = parts.get(command.cdb[1] & 0x1F)
         if made is None:
             return scsi.invalid_field()
         return self._data(command, made()[: int.from_bytes(command.cdb[7:9], "big")])
@@ -278,10 +284,15 @@
         if len(data) != 24 or int.from_bytes(cdb[5:9], "big") != 24:
             return scsi.check(0x05, 0x1A)
         key, new, flags = struct.unpack(">QQ4xBxxx", data)
-        if flags & 0x0D:  # SPEC_I_PT, ALL_TG_PT, APTPL: none is supported
+        # SPEC_I_PT and ALL_TG_PT are not supported; APTPL wants a disk.
+        if flags & 0x0C or (flags & 0x01 and self._keeper is None):
             return scsi.check(0x05, 0x26)
         held = self.reservations.setdefault(command.lun, Reservations())
         done: Done = held.out(nexus.name, cdb[1] & 0x1F, cdb[2] >> 4, cdb[2] & 0x0F, key, new)
+        if done.refusal is None and cdb[1] & 0x1F in (Action.REGISTER, Action.REGISTER_AND_IGNORE):
+            held.lasting = bool(flags & 0x01)
+        if done.refusal is None and self._keeper is not None:
+            self._keeper.save({lun: one for lun, one in self.reservations.items() if one.lasting})
         for name, attention in done.attentions:
             self._attend(name, command.lun, attention)
         for name in done.aborts:
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -19,6 +19,7 @@
 from lemonridge.iscsi.login import Attempts, Known, Rules, TargetLogin
 from lemonridge.iscsi.mapped import MappedLuns
 from lemonridge.iscsi.pdu import keep_alive
+from lemonridge.iscsi.reservation_file import ReservationFile
 from lemonridge.iscsi.session import Session
 from lemonridge.iscsi.task import Task
 
@@ -34,7 +35,8 @@
     def __init__(self, config: Iscsi, broker: Broker, clock: Clock, directory: Directory, counters: Counters,
                  mapped: MappedLuns | None = None) -> None:
         self._directory = directory
-        self.device = Device(config, self._state, self._abort_all)
+        keeper = ReservationFile(config.reservations) if config.reservations is not None else None
+        self.device = Device(config, self._state, self._abort_all, keeper)
         self.config, self.broker, self.clock, self.counters = config, broker, clock, counters
         self.mapped, self.loop = mapped, asyncio.get_running_loop()
         self.connections: set[Connection] = set()
--- a/lemonridge/iscsi/reservations.py
+++ b/lemonridge/iscsi/reservations.py
@@ -1,7 +1,7 @@
 """Persistent reservations of one logical unit (SPC-4, sections 5.13, 6.15 and 6.16). Pure.
 
 Who registered which key, who holds the reservation, and what a command of another may do beside it. State
-lives as long as the program (PTPL_C is 0).
+lives as long as the program, or longer where the caller keeps it and the initiator asks for that (APTPL).
 """
 
 from __future__ import annotations
@@ -88,6 +88,24 @@
     keys: dict[str, int] = field(default_factory=dict)  # nexus -> key, in the order of their registration
     holder: str = ""
     type: Type | None = None
+    lasting: bool = False  # through a restart, as the last REGISTER asked (APTPL, 6.16.3)
+
+    def state(self) -> dict[str, object]:
+        """What a restart needs, as plain values."""
+        return {"keys": dict(self.keys), "holder": self.holder, "type": int(self.type) if self.type else 0}
+
+    @classmethod
+    def restored(cls, state: dict[str, object]) -> Reservations:
+        """From `state`; the generation begins anew (5.13.7). ValueError on what cannot be."""
+        keys, holder, kind = state.get("keys"), state.get("holder"), state.get("type")
+        if not isinstance(keys, dict) or not isinstance(holder, str) or not isinstance(kind, int):
+            raise ValueError("a reservation's state is malformed")
+        if not all(isinstance(name, str) and isinstance(key, int) for name, key in keys.items()):
+            raise ValueError("a registration is malformed")
+        made = cls(keys=dict(keys), holder=holder, type=Type(kind) if kind else None, lasting=True)
+        if made.type is not None and made.type not in ALL and holder not in keys:
+            raise ValueError("the holder is not registered")
+        return made
 
     def conflicts(self, nexus: str, effect: Effect) -> bool:
         """Whether a command must end with RESERVATION CONFLICT."""
@@ -230,7 +248,6 @@
             rows += struct.pack(">Q4xBB4xHI", key, holds, kind, 1, len(identity)) + identity
         return struct.pack(">II", self.generation, len(rows)) + rows
 
-    @staticmethod
-    def capabilities() -> bytes:
-        """REPORT CAPABILITIES: every type, and no persistence over a power loss."""
-        return struct.pack(">HBBHxx", 8, 0x00, 0x80, 0xEA01)
+    def capabilities(self, may_last: bool) -> bytes:
+        """REPORT CAPABILITIES: every type; persistence over a power loss where there is a disk for it."""
+        return struct.pack(">HBBHxx", 8, int(may_last), 0x80 | int(self.lasting), 0xEA01)
--- a/lemonridge/iscsi/schema.py
+++ b/lemonridge/iscsi/schema.py
@@ -55,6 +55,7 @@
     power_on_attention: bool = False
     secrets: str | None = None
     chap: list[str] = []
+    reservations: str | None = None
 
 
 class TargetTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/lemonridge/iscsi/service.py
+++ b/lemonridge/iscsi/service.py
@@ -15,6 +15,7 @@
 from lemonridge.extents.file import FileSource
 from lemonridge.extents.router import Router
 from lemonridge.iscsi.config import Iscsi
+from lemonridge.iscsi.device import CAPACITY_CHANGED
 from lemonridge.iscsi.initiator import IscsiNodes
 from lemonridge.iscsi.mapped import MappedLuns
 from lemonridge.iscsi.portal import IscsiFront
@@ -54,6 +55,8 @@
     broker = Broker(made.decider, nodes, made.counters, router)
     mapped = MappedLuns(config, broker, router, made.counters) if router is not None else None
     made.front = front = IscsiFront(config, broker, made.clock, made.directory, made.counters, mapped)
+    if router is not None:
+        router.resized = lambda luns: front.device.tell(CAPACITY_CHANGED, luns)
     await front.start(config.listen)
     return made
 
--- a/lemonridge/lab/bench_iscsi.py
+++ b/lemonridge/lab/bench_iscsi.py
@@ -10,7 +10,8 @@
 import asyncio
 import statistics
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -140,6 +141,24 @@
     return taken, cpu / max(1, len(taken)) * 1e6
 
 
+@asynccontextmanager
+async def standing() -> AsyncGenerator[int, None]:
+    """A broker before a stand-in node, as long as it takes: the broker's port."""
+    node = await _node()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "bench.toml"
+        path.write_text(CONFIG.format(store=STORE, port=node.port))
+        program = Program("serve", "--config", str(path))
+        try:
+            yield await program.start()
+            await program.stop()
+        finally:
+            if program.process.returncode is None:
+                program.process.kill()
+                await program.process.wait()
+            node.kill()
+
+
 async def _direct(setting: Setting, seconds: float) -> list[float]:
     node = await _node()
     try:
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -141,3 +141,60 @@
     print(line({"lab": Path(options.file).stem, "runs": len(results), "died": len(died),
                 "rules_broken": wrong, "digest": runs.digest(results)}))  # fmt: skip
     return 0 if not died and not wrong else 1
+
+
+def load(options: argparse.Namespace) -> int:
+    """`lemonridge load`: a line a second, then the summary; 1 where nothing was served."""
+    try:
+        from lemonridge.lab import load as tool
+    except ImportError:
+        raise ConfigError("load needs the extra lab: pip install 'lemonridge[lab]'") from None
+    if not 0 < options.rate <= 20_000 or not 0 < options.seconds <= 3600 or not 0 < options.size_kib <= 256:
+        raise ConfigError("load: --rate up to 20000, --seconds up to 3600, --size-kib up to 256")
+    if not 0 <= options.writes <= 1:
+        raise ConfigError("load: --writes is a share")
+    port = 0
+    if options.target:
+        at = Address.parse(options.target, "--target")
+        if at.host not in ("127.0.0.1", "::1", "localhost"):
+            raise ConfigError("load: --target must lie on loopback")
+        port = at.port
+
+    async def whole() -> tool.Tally:
+        def plan(port: int) -> tool.Plan:
+            return tool.Plan(port, options.iqn, options.rate, options.seconds, options.size_kib * 1024,
+                             options.writes, arrivals=options.arrivals, seed=options.seed)  # fmt: skip
+
+        if port:
+            return await tool.run(plan(port), print)
+        async with bench_iscsi.standing() as held:
+            return await tool.run(plan(held), print)
+
+    try:
+        tally = asyncio.run(whole())
+    except ProgramError as error:
+        print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
+        return 1
+    if options.hdr:
+        with open(options.hdr, "w", encoding="ascii") as file:
+            for kind, held in tally.times.items():
+                file.write(f"{kind},{held.encode().decode()}\n")
+    print(line({"load": options.name, **tally.figures()}))
+    return 0 if tally.served else 1
+
+
+def demo(options: argparse.Namespace) -> int:
+    """`lemonridge demo`: 0 if most was served though a node died."""
+    if not 2 <= options.seconds <= 3600:
+        raise ConfigError("demo: --seconds must lie between 2 and 3600")
+    try:
+        from lemonridge.lab import demo as shown
+    except ImportError:
+        raise ConfigError("demo needs the extra lab: pip install 'lemonridge[lab]'") from None
+    try:
+        told = shown.main(options.seconds)
+    except ProgramError as error:
+        print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
+        return 1
+    print(line(told))
+    return 0 if int(str(told["served"])) * 2 > int(str(told["due"])) else 1
--- /dev/null
+++ b/lemonridge/lab/demo.py
@@ -0,0 +1,91 @@
+"""`lemonridge demo`: the broker at work for twenty seconds, with a node that dies and comes back cold."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from lemonridge.lab import load
+from lemonridge.lab.bench_iscsi import CONFIG
+from lemonridge.lab.conform.suite import STORE
+from lemonridge.lab.etcd import Etcd
+from lemonridge.lab.mover import Mover
+from lemonridge.lab.node import ExtentNode
+from lemonridge.lab.program import Program
+from lemonridge.lab.ticks import Ticks
+
+PREFIX, NODES, BLOCKS, RATE = "/demo/", 3, 1024, 150.0
+LUN = '[[lun]]\nlun = {lun}\nplan = "standard"\nshard = {lun}\n'
+
+
+def _config(port: int) -> str:
+    """Three LUNs, one on each node's shard, and the nodes in etcd."""
+    head = CONFIG.format(store=STORE, port=0).partition("[[lun]]")[0]
+    for old, new in (("cold_units = 1000000", "cold_units = 8"), ("deadline_ms = 5000", "deadline_ms = 2000"),
+                     ("aim_ms = 4000", "aim_ms = 400"), ("rate = 1000000", "rate = 100"),
+                     ("reserve = 1000000", "reserve = 80")):  # fmt: skip
+        head = head.replace(old, new)
+    luns = "".join(LUN.format(lun=lun) for lun in range(NODES))
+    return f'{head}{luns}[etcd]\nendpoint = "127.0.0.1:{port}"\nprefix = "{PREFIX}"\n'
+
+
+async def run(seconds: float, say: Callable[[str], None]) -> dict[str, object]:
+    """The summary's figures."""
+    ticks = Ticks()
+    nodes = [ExtentNode(f"n{n}", n, ticks, Random(n), plain=True) for n in range(NODES)]
+    draw = Random(7)
+    etcd = await Etcd().start()
+    mover = Mover(nodes, etcd, PREFIX, ticks, Random(0))
+    for lun, node in enumerate(nodes):
+        await node.start()
+        node.delay_s = lambda: draw.expovariate(1 / 0.004)
+        mover.nodes = [node]
+        mover.lay(lun, 1, BLOCKS)
+    etcd.txn({f"{PREFIX}nodes/{node.name}": node.row() for node in nodes})
+    victim = nodes[1]
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "demo.toml"
+        path.write_text(_config(etcd.port))
+        program = Program("serve", "--config", str(path))
+        try:
+            port = await program.start()
+            say(f"a broker on 127.0.0.1:{port} before {NODES} stand-in nodes; {RATE:g} commands a second")
+            plan = load.Plan(port, STORE, RATE, seconds, luns=tuple(range(NODES)), blocks=BLOCKS)
+            busy = asyncio.create_task(load.run(plan, say))
+            await asyncio.sleep(seconds * 0.4)
+            victim.kill()
+            say("node n1 dies: its commands are refused at once, the other nodes' go on")
+            await asyncio.sleep(seconds * 0.2)
+            await victim.start()
+            etcd.put(f"{PREFIX}nodes/n1", {**victim.row(), "started_ms": int(time.time() * 1000)})
+            say("node n1 is back, cold: it gets little at first, more as it warms")
+            back = len(victim.begun)
+            tally = await busy
+            warmed = len(victim.begun) - back
+            await program.stop()
+        finally:
+            if program.process.returncode is None:
+                program.process.kill()
+                await program.process.wait()
+            for node in nodes:
+                if node.alive:
+                    node.kill()
+            await etcd.stop()
+    counts = program.counts
+    return {"demo": "iscsi", **tally.figures(), "attempts": counts.get("attempts.sent", 0),
+            "unreached": counts.get("attempts.unreached", 0), "after_return": warmed}  # fmt: skip
+
+
+def main(seconds: float) -> dict[str, object]:
+    """Run it, and say in words what the broker did."""
+    told = asyncio.run(run(seconds, lambda text: print(text, file=sys.stderr)))
+    print(f"{told['served']} of {told['due']} commands were served, {told['refused']} refused at once and "
+          f"{told['failed']} failed (they may have run when their node died).")
+    print(f"Reads took {told['read_p50_ms']} ms in the median and {told['read_p99_ms']} ms at the 99th "
+          f"percentile; {told['after_return']} commands went to n1 after its return.")
+    return told
--- a/tests/test_extents_live.py
+++ b/tests/test_extents_live.py
@@ -20,7 +20,7 @@
 from lemonridge.lab.etcd import Etcd
 from lemonridge.lab.initiator import Initiator, cdb
 from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import BLOCK, ExtentNode
+from lemonridge.lab.node import BLOCK, ExtentNode, Hold
 from lemonridge.lab.ticks import Ticks
 
 TEXT = """
@@ -204,6 +204,17 @@
         self.assertEqual(self.ran()[0], ("n0", 4))
         self.assertEqual([one.data for node in self.nodes for one in node.log if one.data][1:], [])
 
+    async def test_a_volume_that_grows_is_told_to_its_initiators(self) -> None:
+        key, node = (0, 64), self.nodes[2]
+        node.take(key, Hold(16, 1), {})
+        self.mover.owner[key] = node
+        self.mover.publish([key])
+        async with asyncio.timeout(10):
+            while (told := await self.session.read(0, BLOCK))[0] == GOOD:
+                await asyncio.sleep(0.005)
+        self.assertEqual((told[0], told[2][2], told[2][12:14]), (CHECK, 0x06, b"\x2a\x09"))
+        self.assertEqual(await self.read(60, 10), (GOOD, bytes(10 * BLOCK)))
+
     async def test_a_node_that_checks_no_versions_gets_nothing(self) -> None:
         other = self.nodes[1]
         other.kill()
--- a/tests/test_iscsi_rude.py
+++ b/tests/test_iscsi_rude.py
@@ -156,6 +156,39 @@
         await self.program.line("initiator silent")
 
 
+class Lasting(FrontCase):
+    """Reservations through a restart, where the operator gave them a place."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "reservations.json"
+        self.front = f'reservations = "{self.file}"\n'
+        await super().asyncSetUp()
+
+    async def out(self, peer: Peer, action: int, key: int, new: int, kind: int = 0, flags: int = 0) -> int:
+        cdb = bytes([0x5F, action, kind, 0, 0, 0, 0, 0, 24, 0])
+        return (await peer.do(cdb, data=struct.pack(">QQ4xBxxx", key, new, flags)))[0]
+
+    async def test_what_was_asked_to_last_does_and_the_rest_does_not(self) -> None:
+        one, two = await self.peer(), await self.peer()
+        self.assertEqual(await self.out(one, 6, 0, 11, flags=1), 0)
+        self.assertEqual(await self.out(one, 1, 11, 0, kind=3), 0)
+        self.assertEqual((await two.do(READ, read=4096))[0], 0x18)
+        self.assertEqual(await self.program.end(signal.SIGKILL), -9)
+        self.program, self.port = await self.launch("a", self.node.port, self.front)
+        two, again = await self.peer(), Peer("127.0.0.1", self.port, STORE, US, one.isid)
+        await (await again.open()).login()
+        self.assertEqual((await two.do(READ, read=4096))[0], 0x18)
+        self.assertEqual(len(await again.good(READ, read=4096)), 4096)
+        self.assertEqual(await self.out(again, 6, 0, 11, flags=0), 0)  # no longer asked for
+        await self.program.end(signal.SIGKILL)
+        self.file.write_text(self.file.read_text() + "x")  # and what is spoilt is put aside
+        self.program, self.port = await self.launch("a", self.node.port, self.front)
+        self.assertEqual(len(await (await self.peer()).good(READ, read=4096)), 4096)
+        self.assertTrue(self.file.with_suffix(".spoilt").exists())
+
+
 class Behind(FrontCase):
     """Two programs, one behind the other: what one asks for as an initiator, the other wants as a target."""
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,6 +13,7 @@
 
 from lemonridge import api
 from lemonridge.config import ConfigError
+from lemonridge.lab import demo, load
 from lemonridge.lab.bench_decisions import cost_us
 from lemonridge.lab.model import runs, spec
 from lemonridge.lab.model.baselines import Baseline
@@ -203,3 +204,54 @@
 
 def test_the_cost_of_a_decision_is_measured() -> None:
     assert cost_us(8, 1, requests=500) > 0
+
+
+class Slow:
+    """A target that answers at once, but for a stall."""
+
+    def __init__(self) -> None:
+        self.now = asyncio.get_running_loop().time
+        self.stall = (0.0, 0.0)
+
+    async def run(self, text: bytes, lun: int, data: bytes, read: int) -> tuple[int, bytes]:
+        start, end = self.stall
+        if start <= self.now() < end:
+            await asyncio.sleep(end - self.now())
+        return 0, b""
+
+    async def close(self) -> None: ...
+
+
+def test_a_stalled_server_shows_in_the_tail() -> None:
+    """Commands that were due in the stall count from when they were due: a fifth of all, not one."""
+    async def whole() -> load.Tally:
+        slow = Slow()
+        began = slow.now()
+        slow.stall = (began + 0.5, began + 0.9)
+        with mock.patch("lemonridge.lab.load.Client", lambda *_: slow):
+            return await load.run(load.Plan(1, "t", 300, 2.0, seed=4))
+
+    tally = asyncio.run(whole())
+    assert tally.served == tally.due > 400
+    held = tally.times["read"]
+    assert held.get_value_at_percentile(70) < 150_000 and held.get_value_at_percentile(90) > 100_000
+    assert held.get_value_at_percentile(99) > 300_000
+
+
+def test_past_the_bound_on_what_is_out_commands_are_counted_and_not_sent() -> None:
+    async def whole() -> load.Tally:
+        slow = Slow()
+        slow.stall = (0.0, slow.now() + 1.0)
+        with mock.patch("lemonridge.lab.load.Client", lambda *_: slow):
+            return await load.run(load.Plan(1, "t", 400, 0.5, arrivals="bursty", outstanding=20))
+
+    tally = asyncio.run(whole())
+    assert tally.unsent > 20 and tally.served == tally.due - tally.unsent
+
+
+def test_the_demo_shows_a_node_that_dies_and_comes_back() -> None:
+    said: list[str] = []
+    told = asyncio.run(demo.run(4.0, said.append))
+    assert told["lost"] == 0 and int(str(told["after_return"])) > 0 and int(str(told["refused"])) > 0
+    assert int(str(told["served"])) * 2 > int(str(told["due"])) > 400
+    assert any("dies" in text for text in said) and any("cold" in text for text in said)
--- a/tests/test_repo.py
+++ b/tests/test_repo.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -30,3 +32,13 @@
         scope: dict[str, object] = {}
         exec(block, scope)
         assert scope["actions"]
+
+
+def test_the_platforms_broker_loads_none_of_the_operators_libraries() -> None:
+    """It has part of a core and restarts often: what only an operator's file needs must not be loaded."""
+    code = ("import sys, lemonridge.cli, lemonridge.app; print(*sorted(name for name in sys.modules"
+            " if name.split('.')[0]"
+            " in ('msgspec', 'lmdb', 'xxhash', 'crc32c', 'numpy', 'scipy', 'simpy', 'matplotlib')"
+            " or name.startswith(('lemonridge.lab', 'lemonridge.iscsi', 'lemonridge.extents'))))")
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert told.stdout.strip() == ""
