Spread a fleet's calls to discovery, and make a cold node's part of use to many brokers

Also: refusals carry their cause (counters given_up.*), and a debug line for each event and decision, by which this was counted.

--- a/lemonridge/api.py
+++ b/lemonridge/api.py
@@ -48,6 +48,17 @@
     LEFT = "left"
 
 
+class Why(Enum):
+    """Why a request was given up."""
+
+    LIMIT = "limit"  # its volume's limit has no room in time
+    COLD = "cold"  # its node is cold, and its part there is spent
+    LATE = "late"  # no node had room before its aim
+    SPENT = "spent"  # it has no further attempt, by its class, its number or its time
+    OVER = "over"  # its deadline came
+    LOST = "lost"  # nobody can say where its data is
+
+
 class ListKind(Enum):
     """What a list event holds."""
 
@@ -222,6 +233,7 @@
 
     request: str
     backoff_us: int
+    why: Why
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,6 +241,7 @@
     """Final answer: failed, nothing promised."""
 
     request: str
+    why: Why
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -26,20 +26,29 @@
 async def platform_service(platform: Platform) -> Service:
     """The platform's front: clients and nodes over HTTP/1.1, the node list from discovery."""
     made = Service("http", platform.settings, platform.seed, Counters())
+    settings = platform.settings
+    log.info("settings", extra={
+        "hosts": settings.hosts, "shards": platform.shards, "sockets": platform.sockets,
+        "units_mean": settings.units_mean, "units_top": settings.units_top, "cold_units": settings.cold_units,
+        "asks_list": settings.asks_list, "ask_within_us": settings.ask_within_us})  # fmt: skip
+    known: int | None = None
     if platform.known.get("hosts"):
         try:
             made.directory.take(api.ListKind.STALE, listings(platform.known, platform.zones))
         except MalformedError as error:
             log.warning("known list ignored", extra={"error": str(error)})
+        else:
+            seq = platform.known.get("seq")
+            known = seq if isinstance(seq, int) and not isinstance(seq, bool) else None
     nodes = HttpNodes(made.directory, made.clock, platform.connect_us, platform.keepalive_us, made.counters)
     made.close = nodes.close
     random = Random(platform.seed)
 
-    def watch() -> None:
+    def watch(seq: int | None = None) -> None:
         made.watch(Discovery(str(platform.discovery), platform.zones, made.directory, random,
-                             made.counters).run())  # fmt: skip
+                             made.counters, platform.settings).run(seq))  # fmt: skip
 
-    watch()
+    watch(known if settings.asks_list else None)  # one that must be asked has to look up less that way
     broker = Broker(made.decider, nodes, made.counters)
     made.front = front = HttpFront(platform, broker, made.directory, made.clock, made.counters)
 
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -115,7 +116,11 @@
         except Exception:
             self._start_over()
             return
+        if log.isEnabledFor(logging.DEBUG):
+            self._trace(events, actions)
         for action in actions:
+            if isinstance(action, (api.Refuse, api.Fail)):
+                self._counters[f"given_up.{action.why.value}"] += 1
             if isinstance(action, api.Wake):
                 self._wake_at(action.at_us)
             elif not isinstance(action, api.Subscribe):  # the watch of the node list never ends
@@ -123,6 +128,12 @@
                 if mailbox is not None:
                     mailbox.deliver(action)
 
+    def _trace(self, events: list[api.Event], actions: list[api.Action]) -> None:
+        """What was told and decided, a line each: to be added up over all brokers."""
+        for told in (*events, *actions):
+            if not isinstance(told, (api.Listed, api.Configured, api.Woke, api.Wake, api.Subscribe)):
+                log.debug(type(told).__name__.lower(), extra=dataclasses.asdict(told))
+
     def _wake_at(self, at_us: int) -> None:
         """The module asks again at each earlier need, so the last asked for is the only one."""
         if self._timer is not None:
--- a/lemonridge/lab/model/baselines.py
+++ b/lemonridge/lab/model/baselines.py
@@ -76,7 +76,7 @@
         event, made, ran = self._open[request]
         node = self._pick(event.shard)
         if node is None:
-            actions.append(api.Refuse(request, 0))
+            actions.append(api.Refuse(request, 0, api.Why.LATE))
             del self._open[request]
             return
         self._open[request] = (event, made + 1, ran)
@@ -99,7 +99,9 @@
             self._send(event.request, actions)
             return
         del self._open[event.request]
-        actions.append(api.Refuse(event.request, 0) if safe or not ran else api.Fail(event.request))
+        spent = api.Why.SPENT
+        refusable = safe or not ran
+        actions.append(api.Refuse(event.request, 0, spent) if refusable else api.Fail(event.request, spent))
 
 
 def make(policy: str, settings: api.Settings, seed: int) -> Decides:
--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -21,6 +21,7 @@
 GRACE_S = 2.0  # past the wait: a call that is silent for longer is lost
 PAUSE_S = 0.05  # before the first retry, doubled up to the limit below
 PAUSE_TOP_S = 1.0
+EACH_S = 0.125  # of discovery's time for a call, where it must be asked: brokers spread their calls by that
 CONDITIONS = {"up": api.Condition.ACTIVE, "draining": api.Condition.LEAVING, "removed": api.Condition.LEFT}
 
 
@@ -28,6 +29,10 @@
     """An answer that is not a node list."""
 
 
+class UnansweredError(Exception):
+    """Discovery answered with something else than 200."""
+
+
 def listings(told: Any, zones: tuple[str, ...]) -> list[Listing]:
     """The lines of a list in discovery's form."""
     try:
@@ -56,20 +61,37 @@
     return sum(map(ord, str(site))) + len(zones)  # unknown: alike for like names, which is all that counts
 
 
+def pauses(settings: api.Settings) -> tuple[float, float]:
+    """The first and the longest pause before a call, in seconds.
+
+    Where discovery must be asked, the calls of all brokers wait in one line, and one that waited for too
+    long costs as much as one that is answered: asked by all at once and again, it answers none. The pauses
+    grow with the fleet, and end within the time after which a broker counts as one that did not ask.
+    """
+    if not settings.asks_list:
+        return PAUSE_S, PAUSE_TOP_S
+    within_s = settings.ask_within_us / 1e6
+    first_s = max(PAUSE_S, min(EACH_S * settings.hosts, within_s / 2))
+    return first_s, max(first_s, within_s)
+
+
 class Discovery:
     """Keeps the directory in step with discovery; `run` never returns."""
 
     def __init__(self, address: str, zones: tuple[str, ...], directory: Directory, random: Random,
-                 counters: Counters) -> None:
+                 counters: Counters, settings: api.Settings) -> None:
         self._url, self._zones, self._directory = f"http://{address}/api/targets", zones, directory
-        self._backoff = Backoff("discovery", log, PAUSE_S, PAUSE_TOP_S, random, counters)
+        self._asks = settings.asks_list
+        self._backoff = Backoff("discovery", log, *pauses(settings), random, counters)
         self._counters = counters
 
-    async def run(self) -> None:
-        """Take the whole list, then watch; the next call leaves at once, or it would be a new watch."""
+    async def run(self, seq: int | None) -> None:
+        """Take the whole list, or what changed since `seq`, then watch; the next call leaves at once, or it
+        would be a new watch."""
         loop = asyncio.get_running_loop()
+        if seq is not None:
+            await self._backoff.spread()  # the known list serves meanwhile
         async with client() as http:
-            seq: int | None = None
             while True:
                 query = "" if seq is None else f"?after={seq}&wait_ms={int(WAIT_S * 1000)}"
                 try:
@@ -77,11 +99,12 @@
                         async with http.get(self._url + query, allow_redirects=False) as answer:
                             body = await answer.read()
                     if answer.status != 200:
-                        raise MalformedError(f"status {answer.status}")
+                        raise UnansweredError(f"status {answer.status}")
                     seq = self._take(body)
                     self._backoff.worked()
-                except (aiohttp.ClientError, OSError, MalformedError) as error:
-                    seq = None  # what happened meanwhile is only in the whole list
+                except (aiohttp.ClientError, OSError, MalformedError, UnansweredError) as error:
+                    if not self._asks or isinstance(error, MalformedError):
+                        seq = None  # the whole list, which costs an agent nothing
                     await self._backoff.failed(error)
 
     def _take(self, body: bytes) -> int:
--- a/lemonridge/net/watching.py
+++ b/lemonridge/net/watching.py
@@ -35,3 +35,7 @@
         pause = min(self._top_s, self._first_s * 2**self._failed)
         self._failed = min(self._failed + 1, 16)
         await asyncio.sleep(pause * self._random.uniform(0.5, 1.5))
+
+    async def spread(self) -> None:
+        """Pause before the first call, by the first pause at most."""
+        await asyncio.sleep(self._first_s * self._random.random())
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -17,7 +17,7 @@
 
 from lemonridge.api import (
     Action, Arrived, Cancel, ClassInfo, Condition, Configured, Ended, Entry, Event, Fail, Gone, Group, Listed,
-    ListKind, Moved, Plan, Refuse, Result, Semantics, Send, Settings, Started, Subscribe, Wake,
+    ListKind, Moved, Plan, Refuse, Result, Semantics, Send, Settings, Started, Subscribe, Wake, Why,
 )  # fmt: skip
 
 # Tuned values; each says what it trades. None belongs to one deployment.
@@ -35,6 +35,7 @@
 DOWN_US = 1_000_000  # not reached for so long: it restarted; shorter takes a reset connect for that
 USUAL_US = 10_000_000  # memory of this host's usual traffic to a shard: lasting against moving with the lead
 COLD_PART = 0.5  # part of what tips a cold node over that all hosts use: speed against chance
+COLD_RUNS = 4.0  # a host saves up this part of all hosts' mean at a cold node: use against chance
 CROWD_HELD = 4.0  # more than this held for each of this host, and late: many senders; lower rests sooner
 CROWD_BACK = 1 / 16  # where a host goes on after the first good answer of a crowded node
 CROWD_CUT = 16.0  # the deepest single cut at a crowded node: drains a full queue against losing room
@@ -92,6 +93,7 @@
         self.level, self.filled_us = 0.0, born_us
         self.undrawn = 0.0
         self.seen_us = now
+        self.regular, self.regular_us = settings.units_top, now
 
     def fill(self, now: int) -> float:
         """The bucket's level: this host's even slice of the limit, so the sum holds unaided."""
@@ -100,6 +102,14 @@
         self.filled_us = now
         return self.level
 
+    def inside(self, units: float, now: int) -> float:
+        """How much of what is asked for now is inside the rate that the volume is sized for."""
+        grown = self.plan.base_rate * (now - self.regular_us) / 1e6
+        level = min(self.settings.units_top + CREDIT_S * self.plan.base_rate, self.regular + grown)
+        part = min(units, level)
+        self.regular, self.regular_us = level - part, now
+        return part
+
     def wait_us(self, units: float, now: int) -> int:
         """How long until the bucket holds `units`."""
         lack = units + EPSILON - self.fill(now)
@@ -107,10 +117,14 @@
 
 
 class Usual:
-    """What this host was served at one shard, fading with time while its node is warm."""
+    """What this host was served at one shard, fading with time while its node is warm.
+
+    Until it was served there, it is what was asked for inside the rates of the volumes: a host that
+    starts beside a cold node knows no more."""
 
     def __init__(self, born_us: int) -> None:
-        self.units, self.span_us, self.at_us, self.frozen = 0.0, 0.0, born_us, False
+        self.units, self.span_us, self.at_us = 0.0, 0.0, born_us
+        self.frozen = self.served = False
 
     def fade(self, to_us: int) -> None:
         if to_us > self.at_us:
@@ -120,6 +134,10 @@
                 self.span_us = self.span_us * kept + USUAL_US * (1 - kept)
             self.at_us = to_us
 
+    def rate(self) -> float:
+        """Units a microsecond."""
+        return self.units / max(self.span_us, USUAL_US / 10)
+
 
 class Node:
     """What this host knows of one node."""
@@ -136,7 +154,7 @@
         self.down_us = 0  # when it was first not reached since its last answer
         self.heard_us = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
-        self.cold_units, self.cold_level, self.cold_us = 0.0, 0.0, 0
+        self.cold_units, self.cold_level, self.cold_rate, self.cold_us = 0.0, 0.0, 0.0, 0
 
     def usual(self) -> float:
         return self.lag + self.dev  # with its spread
@@ -250,7 +268,7 @@
         # at once. It also keeps a surge from filling the lanes with requests that only wait to die.
         wait = volume.wait_us(volume.undrawn + r.units, self.now) if volume.plan.limit else 0
         if wait > max(0, r.due - self.now):
-            self._give_up(r)
+            self._give_up(r, Why.LIMIT)
             return
         volume.undrawn += r.units
         if r.key is not None:
@@ -336,7 +354,7 @@
         if event.result is Result.OK:
             if node.born_us is None and node.condition is Condition.ACTIVE:
                 usual = self.usual[node.shard]
-                usual.frozen = False
+                usual.served, usual.frozen = True, False
                 usual.fade(self.now)
                 usual.units += r.units
             error = event.lag_us - node.lag
@@ -381,7 +399,7 @@
         if useful and self._may_send(r, None):
             self._timer(self.now + pause, "retry", r)
         else:
-            self._give_up(r)
+            self._give_up(r, Why.SPENT)
 
     def _moved(self, event: Moved) -> None:
         """Go on where the data went, within the same attempts; give up where that is not known."""
@@ -389,7 +407,8 @@
         if r and r.open is None:
             self._dequeue(r)
             r.shard = r.shard if event.shard is None else event.shard
-            self._enqueue(r) if event.shard is not None and self._may_send(r, None) else self._give_up(r)
+            known = event.shard is not None and self._may_send(r, None)
+            self._enqueue(r) if known else self._give_up(r, Why.LOST)
 
     # What a request may still do: the one place for effects, budget and further attempts
 
@@ -412,14 +431,14 @@
             return len(self.resends) + 1 <= s.free_resends + s.extra_ratio * len(self.taken)
         return True
 
-    def _give_up(self, r: Request) -> None:
+    def _give_up(self, r: Request, why: Why) -> None:
         """The final answer: a refusal where a repeat is harmless, else a failure."""
         ran, kind = r.ran_node is not None or r.open is not None, r.cls.semantics
         keyed_all = kind is Semantics.KEYED and r.cls.group is Group.ALL
         if not ran or kind is Semantics.SAFE or keyed_all:
-            self.actions.append(Refuse(r.id, self._advice(r)))
+            self.actions.append(Refuse(r.id, self._advice(r), why))
         else:
-            self.actions.append(Fail(r.id))
+            self.actions.append(Fail(r.id, why))
         self._finish(r)
 
     def _advice(self, r: Request) -> int:
@@ -435,6 +454,11 @@
             self.requests.pop(r.id, None)
             if not r.drawn:
                 r.volume.undrawn = max(0.0, r.volume.undrawn - r.units)
+            part, usual = r.volume.inside(r.units, self.now), self.usual[r.shard]
+            if not usual.served:  # at its end: a request must not make room for itself at a cold node
+                usual.frozen = False
+                usual.fade(self.now)
+                usual.units += part
         self._free_key(r)
 
     def _free_key(self, r: Request) -> None:
@@ -512,7 +536,7 @@
             wait = self._cold_wait(node, r) if node else 0
             if self.now + max(margin, wait) <= r.due and (not r.sent or self._may_send(r, None)):
                 return
-            self._give_up(r)
+            self._give_up(r, Why.COLD if wait > margin else Why.LATE)
 
     def _credit(self, volume: Volume, waits: bool = True) -> None:
         """Add what the reservation earned since the last visit; told use was taken off already.
@@ -546,7 +570,7 @@
             return 0.0
         if not self._may_send(r, node):
             if r.sent:
-                self._give_up(r)  # the budget is spent meanwhile: it must not hold up the others
+                self._give_up(r, Why.SPENT)  # the budget is spent meanwhile: it must not hold up the others
             return 0.0
         if not self._health_allows(node, r):
             return 0.0
@@ -599,6 +623,8 @@
                 free = 0.0 if node.open or self.now < node.rest_us else 0.5
             elif free < 1.0:
                 free = 0.0
+            if shard < 0 and free > room and self._cold(node) and node.cold_level < 0:
+                continue  # another can take a new object, and no other has what lies there
             if free > room:
                 best, room = node, free
         return best
@@ -668,37 +694,55 @@
         usual.frozen = True
         node.born_us, node.cold_us, node.window = born_us, self.now, self.start
         node.unreached = node.probes = node.probe_us = 0  # from here on the cold guard paces it
-        node.cold_level = -2 * (self.settings.units_mean or self.settings.units_top) * self.random.random()
+        node.cold_level = -(self.settings.units_mean or self.settings.units_top) * self.random.random()
 
-    def _cold_wait(self, node: Node, r: Request) -> int:
-        """How long until a cold node may be sent a request; 0 is now.
+    def _warmth(self, node: Node) -> float:
+        """The part of its capacity that a node has at least, a stretch of the rule ago."""
+        s = self.settings
+        aged = max(0, self.now - (node.born_us or 0) - s.fall_us)
+        return s.cold_share + (1 - s.cold_share) * aged / s.ramp_us
 
-        A cold node falls over under what all hosts send it. Each keeps to an even part of what any
-        cold node bears, or to its own usual traffic there scaled to the slowest ramp that the
-        settings promise: what all hosts were served was within the node's full capacity, so the
-        parts add up to no more than a cold one bears, however many the hosts and unknown to each other.
+    def _cold(self, node: Node) -> bool:
+        """Whether a node is cold; this host's bucket there is brought up to date.
+
+        Programs ask in runs, so a bucket that holds no more than one request would lose most of its
+        part. It may save up as much as keeps the sum of many hosts' runs, each at its own moment, within
+        twice their mean: with the hosts' count, since the runs of many even out.
         """
         if node.born_us is None:
-            return 0
+            return False
         s = self.settings
-        rest = s.ramp_us - (self.now - node.born_us)
-        if rest <= 0:
+        if self.now >= node.born_us + s.ramp_us:
             node.born_us, node.cold_units = None, 0.0
             node.cold_sends.clear()
-            return 0
+            return False
         while node.cold_sends and node.cold_sends[0][0] < self.now - s.fall_us:
             node.cold_units -= node.cold_sends.popleft()[1]
-        warm = s.cold_share + (1 - s.cold_share) * max(0, s.ramp_us - rest - s.fall_us) / s.ramp_us
-        usual = self.usual[node.shard]
-        rate = usual.units / max(usual.span_us, USUAL_US / 10) * min(1.0, COLD_PART * s.tip_multiple * warm)
-        node.cold_level = min(0.0, node.cold_level + rate * (self.now - node.cold_us))
+        part = min(1.0, COLD_PART * s.tip_multiple * self._warmth(node))
+        node.cold_rate = self.usual[node.shard].rate() * part
+        top = node.cold_rate * s.fall_us * s.hosts / COLD_RUNS if s.hosts > FEW else 0.0
+        node.cold_level = min(top, node.cold_level + node.cold_rate * (self.now - node.cold_us))
         node.cold_us = self.now
+        return True
+
+    def _cold_wait(self, node: Node, r: Request) -> int:
+        """How long until a cold node may be sent a request; 0 is now.
+
+        A cold node falls over under what all hosts send it. Each keeps to an even part of what any
+        cold node bears, or to its own usual traffic there scaled to the slowest ramp that the
+        settings promise: what the volumes are sized for is within the node's full capacity, so the
+        parts add up to no more than a cold one bears, however many the hosts and unknown to each other.
+        """
+        if not self._cold(node):
+            return 0
+        s, warm = self.settings, self._warmth(node)
+        rest = (node.born_us or 0) + s.ramp_us - self.now
         even = s.cold_units / s.hosts * (warm / s.cold_share if s.cold_share else 1.0)
-        if node.cold_units + r.units <= even or (rate and node.cold_level >= 0):
+        if node.cold_units + r.units <= even or (node.cold_rate and node.cold_level >= 0):
             return 0
         if r.units <= even * 2:
             rest = min(rest, s.fall_us)
-        return max(1, min(rest, int(-node.cold_level / rate) if rate else rest))
+        return max(1, min(rest, int(-node.cold_level / node.cold_rate) if node.cold_rate else rest))
 
     def _listed(self, event: Listed) -> None:
         if event.kind is ListKind.BROKEN:
@@ -765,7 +809,7 @@
                     self._ring(what)
             elif isinstance(what, Request) and not what.done:
                 if kind == "deadline" and not what.started:
-                    self._give_up(what)
+                    self._give_up(what, Why.OVER)
                 elif kind == "retry" and not what.queued and what.open is None:  # or it has moved since
                     self._enqueue(what)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -267,7 +267,7 @@
         self.addCleanup(folder.cleanup)
         facts = copy.deepcopy(FACTS)
         for table, changes in self.facts.items():
-            facts[table].update(changes)
+            facts[table] = {**facts[table], **changes} if isinstance(changes, dict) else changes
         config = Path(folder.name) / "config.json"
         config.write_text(json.dumps({
             "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -56,7 +56,7 @@
 
     async def test_events_of_one_turn_go_together(self) -> None:
         self.policy.react = lambda event: (
-            [api.Refuse(event.request, 7)] if isinstance(event, api.Arrived) else [])
+            [api.Refuse(event.request, 7, api.Why.LATE)] if isinstance(event, api.Arrived) else [])
         answers = await asyncio.gather(*(self.broker.serve(self.request()) for _ in range(5)))
         self.assertEqual({(one.kind, one.backoff_us) for one in answers}, {(Kind.REFUSED, 7)})
         self.assertEqual(len(self.policy.batches[0]), 5)
@@ -72,7 +72,8 @@
 
         self.behave = held
         sent = self.policy.react
-        self.policy.react = lambda event: [api.Fail("r1")] if isinstance(event, api.Woke) else sent(event)
+        over = api.Fail("r1", api.Why.OVER)
+        self.policy.react = lambda event: [over] if isinstance(event, api.Woke) else sent(event)
         self.assertEqual((await self.broker.serve(self.request())).kind, Kind.FAILED)
         self.assertEqual(self.policy.of(api.Ended), [])
         hold.set()
@@ -106,7 +107,7 @@
 
                 def react(event: api.Event, name: str = name) -> list[api.Action]:
                     if isinstance(event, api.Ended):
-                        return [api.Fail(event.request)]
+                        return [api.Fail(event.request, api.Why.SPENT)]
                     return [api.Cancel(name, 0)] if isinstance(event, api.Woke) else sent(event)
 
                 self.policy.react = react
@@ -178,7 +179,8 @@
         def react(event: api.Event) -> list[api.Action]:
             if isinstance(event, api.Moved):
                 name = event.request
-                return [api.Refuse(name, 0) if event.shard is None else api.Send(name, f"n{event.shard}")]
+                lost = event.shard is None
+                return [api.Refuse(name, 0, api.Why.LOST) if lost else api.Send(name, f"n{event.shard}")]
             return [api.Send(event.request, "n0")] if isinstance(event, api.Arrived) else []
 
         way = Way()
@@ -221,7 +223,7 @@
         self.behave = gone
         self.policy.react = lambda event: (
             [api.Send(event.request, "a")] if isinstance(event, api.Arrived)
-            else [api.Refuse(event.request, 0)] if isinstance(event, api.Moved) else [])
+            else [api.Refuse(event.request, 0, api.Why.LOST)] if isinstance(event, api.Moved) else [])
         broker = Broker(self.decider, self, self.counters, Silent())  # type: ignore[arg-type]
         request = self.request(30_000)
         request.route = Way()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from conftest import SETTINGS, START
 
 from lemonridge import Scheduler, api
+from lemonridge.net import discovery
 
 CAPACITY = 80.0  # units a second of the warm node
 SLOT_US = 20_000
@@ -167,3 +168,28 @@
         lowest = min(lowest, store)
     assert lowest >= -plan.slack
     assert len(spread) == 24 and sent > 0.2 * plan.limit * 60
+
+
+def answered(first_s: float, top_s: float, spread: bool, brokers: int = 40) -> list[float]:
+    """When each broker's call is answered, of 40 s: a discovery that takes 150 ms for each call in turn, also
+    for those whose caller has given up after 2 s in the line."""
+    chance, line, now, told = random.Random(8), 0.0, 0.0, []
+    calls = [(first_s * chance.random() if spread else 0.0, n, 0) for n in range(brokers)]
+    while calls and now < 40:
+        now, n, failed = min(calls)
+        calls.remove((now, n, failed))
+        line = max(line, now) + 0.15
+        if line <= now + 2:
+            told.append(line)
+        else:
+            pause = min(top_s, first_s * 2**failed) * chance.uniform(0.5, 1.5)
+            calls.append((now + 2 + pause, n, failed + 1))
+    return told
+
+
+def test_many_brokers_calls_are_spread_so_that_discovery_can_answer_them() -> None:
+    asked = replace(SETTINGS, hosts=40, asks_list=True, ask_within_us=10_000_000)
+    told = answered(*discovery.pauses(asked), True)
+    assert len(told) == 40 and sorted(told)[35] < 10
+    assert len(answered(*discovery.pauses(replace(asked, asks_list=False)), False)) < 30
+    assert discovery.pauses(replace(asked, hosts=3))[0] < 0.5
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -404,6 +404,17 @@
         self.assertEqual(whole, [True, False, False, True, True, False])
         self.assertEqual((await self.client.ask()).status, 200)
 
+    async def test_a_discovery_that_must_be_asked_is_asked_for_changes_only(self) -> None:
+        """Whole lists for all that start together, and after each failure, are more than it can answer."""
+        self.facts = {"discovery": "ask", "rules": {"ask-within-us": 400_000}}
+        known = json.loads(self.register.answer(True, list(self.register.rows.values())))
+        before = len(self.discovery.seen)
+        self.register.broken = [b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"]
+        await self.launch(known)
+        await self.discovery.until(lambda: len(self.discovery.seen) >= before + 2)
+        for message in self.discovery.seen[before:]:
+            self.assertIn(f"after={self.register.seq}&wait_ms=", message.start)
+
     async def test_not_ready_without_a_list_and_ready_with_the_known_one(self) -> None:
         self.discovery.listener.close()
         await self.launch()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -334,6 +334,34 @@
     assert 1 <= cold_sends(rig, 990_000) <= SETTINGS.cold_units / SETTINGS.hosts
 
 
+def test_a_host_that_starts_beside_a_cold_node_uses_it_by_what_it_is_asked_for() -> None:
+    """One of many hosts: its even part holds no request, and it was served nothing there before."""
+    rig = Rig(replace(SETTINGS, hosts=40, cold_units=1.0))
+    rig.listed(("n", 2, Condition.ACTIVE, START - 4_000_000))
+    assert 3 <= cold_sends(rig, 4_000_000) <= 60
+
+
+def test_a_cold_nodes_bucket_saves_up_a_run_of_many_hosts_but_not_of_few() -> None:
+    for hosts, saved in ((40, True), (4, False)):
+        rig = Rig(replace(SETTINGS, hosts=hosts, cold_units=1.0))
+        for _ in range(40):
+            rig.now += 250_000
+            rig.end(rig.ask(units=2.0))
+        rig.listed(("a", 0, Condition.ACTIVE, rig.now), kind=ListKind.PATCH)
+        rig.now += 9_000_000
+        rig.ask(units=2.0)
+        node = rig.policy.nodes["a"]
+        assert (node.cold_level > 2.0) is saved and node.cold_rate > 0
+
+
+def test_a_new_object_passes_by_a_cold_node_whose_part_is_spent(rig: Rig) -> None:
+    rig.listed(("n", 2), kind=ListKind.PATCH)
+    for name in "ab":
+        rig.policy.nodes[name].window = 1.5
+    rig.policy.nodes["n"].window, rig.policy.nodes["n"].cold_level = 8.0, -4.0
+    assert rig.ask(shard=-1) in rig.sent() and rig.policy.nodes["n"].open == 0
+
+
 def test_unseen_restart_is_cold(rig: Rig) -> None:
     for _ in range(3):
         rig.ask()
