Judge answer times by a request's size, and let a cold node's part grow with its warmth

Six units take 420 ms at an idle node and one unit 46 ms, but policy._observe, _patience and _write_off held every answer against one figure: each answer to three units or more cut the window, and a large request after small ones was silence. Further, cold nodes of 6 to 17 s answered as if idle while a third of what was asked for was sent (_cold).

Change: times are of a request of mean size, larger ones are given more; a cold node's part stays at half of what tips it over up to one and a half times its first warmth and grows to all of it.

--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -34,7 +34,7 @@
 PROBE_US = 500_000  # a suspect node gets one request this often
 DOWN_US = 1_000_000  # not reached for so long: it restarted; shorter takes a reset connect for that
 USUAL_US = 10_000_000  # memory of this host's usual traffic to a shard: lasting against moving with the lead
-COLD_PART = 0.5  # part of what tips a cold node over that all hosts use: speed against chance
+COLD_PART = 0.5  # part of what tips the coldest node over that all hosts use: speed against chance
 COLD_RUNS = 4.0  # a host saves up this part of all hosts' mean at a cold node: use against chance
 CROWD_HELD = 4.0  # more than this held for each of this host, and late: many senders; lower rests sooner
 CROWD_BACK = 1 / 16  # where a host goes on after the first good answer of a crowded node
@@ -56,12 +56,13 @@
     """A request from its arrival until its final answer and the end of its last attempt."""
 
     __slots__ = (
-        "id", "shard", "volume", "deadline", "due", "key", "cls", "units", "sent", "open", "ran_us",
+        "id", "size", "shard", "volume", "deadline", "due", "key", "cls", "units", "sent", "open", "ran_us",
         "ran_node", "drawn", "done", "started", "queued",
     )  # fmt: skip
 
     def __init__(self, event: Arrived, cls: ClassInfo, volume: Volume, due: int) -> None:
         self.id, self.shard, self.volume = event.request, event.shard, volume
+        self.size = max(1.0, event.units / (volume.settings.units_mean or event.units or 1.0))
         self.deadline, self.due, self.cls, self.units = event.deadline_us, due, cls, event.units
         self.key = event.key if cls.sequential else None
         self.sent = 0  # attempts made
@@ -104,8 +105,8 @@
 
     def inside(self, units: float, now: int) -> float:
         """How much of what is asked for now is inside the rate that the volume is sized for."""
-        grown = self.plan.base_rate * (now - self.regular_us) / 1e6
-        level = min(self.settings.units_top + CREDIT_S * self.plan.base_rate, self.regular + grown)
+        rate, past = self.plan.base_rate, (now - self.regular_us) / 1e6
+        level = min(self.settings.units_top + CREDIT_S * rate, self.regular + rate * past)
         part = min(units, level)
         self.regular, self.regular_us = level - part, now
         return part
@@ -117,10 +118,7 @@
 
 
 class Usual:
-    """What this host was served at one shard, fading with time while its node is warm.
-
-    Until it was served there, it is what was asked for inside the rates of the volumes: a host that
-    starts beside a cold node knows no more."""
+    """What this host was served at one shard, fading while its node is warm; before, what was asked of it."""
 
     def __init__(self, born_us: int) -> None:
         self.units, self.span_us, self.at_us = 0.0, 0.0, born_us
@@ -134,6 +132,11 @@
                 self.span_us = self.span_us * kept + USUAL_US * (1 - kept)
             self.at_us = to_us
 
+    def add(self, units: float, now: int) -> None:
+        self.frozen = False
+        self.fade(now)
+        self.units += units
+
     def rate(self) -> float:
         """Units a microsecond."""
         return self.units / max(self.span_us, USUAL_US / 10)
@@ -148,7 +151,7 @@
         self.born_us: int | None = None  # start of a cold spell
         self.window, self.cut_us, self.rest_us, self.open = window, 0, 0, 0
         self.held = 0.0  # requests of all hosts there, as last told
-        self.lag, self.dev = 0.0, 0.0
+        self.lag, self.dev, self.size = 0.0, 0.0, 1.0  # of a request of mean size; of the largest one out
         self.quiet_us: int | None = None  # since when something is out and nothing was heard
         self.probe_us, self.probes, self.unreached = 0, 0, 0
         self.down_us = 0  # when it was first not reached since its last answer
@@ -341,6 +344,7 @@
             node.unreached += 1
             self._probe_later(node)
             return
+        lag = event.lag_us / r.size  # a large request takes longer: that is no sign of load
         # A connection that breaks tells nothing of load, and is no silence: a window cut for each would
         # close a node to all for a network that resets one connection in twenty.
         cut = event.result in (Result.FULL, Result.TIMEOUT)
@@ -353,14 +357,12 @@
             node.unreached = node.probes = 0
         if event.result is Result.OK:
             if node.born_us is None and node.condition is Condition.ACTIVE:
-                usual = self.usual[node.shard]
-                usual.served, usual.frozen = True, False
-                usual.fade(self.now)
-                usual.units += r.units
-            error = event.lag_us - node.lag
+                self.usual[node.shard].served = True
+                self.usual[node.shard].add(r.units, self.now)
+            error = lag - node.lag
             node.lag += error * (SMOOTH if node.lag else 1.0)
             node.dev += (abs(error) - node.dev) * SMOOTH
-            cut = event.lag_us > CUT_SHARE * self.tightest
+            cut = lag > CUT_SHARE * self.tightest
             if not cut and 1.0 <= node.window <= node.open + 1:
                 node.window = min(WINDOW_TOP, node.window + 1 / node.window)
             if event.elsewhere is not None and self.settings.tells_elsewhere:
@@ -368,9 +370,9 @@
                 self._debit(r.volume, event.elsewhere)
         if event.held is not None and event.held >= 0:
             node.held = event.held
-        self._adapt(node, sent_us, event.lag_us, cut, event.result)
+        self._adapt(node, sent_us, lag, cut, event.result)
 
-    def _adapt(self, node: Node, sent_us: int, lag_us: int, late: bool, result: Result) -> None:
+    def _adapt(self, node: Node, sent_us: int, lag_us: float, late: bool, result: Result) -> None:
         """Cut the window, once for all that was sent before the last cut, or let it grow again.
 
         One request from each of many hosts floods a node. Where it told that it holds several for each
@@ -407,8 +409,8 @@
         if r and r.open is None:
             self._dequeue(r)
             r.shard = r.shard if event.shard is None else event.shard
-            known = event.shard is not None and self._may_send(r, None)
-            self._enqueue(r) if known else self._give_up(r, Why.LOST)
+            go = event.shard is not None and self._may_send(r, None)
+            self._enqueue(r) if go else self._give_up(r, Why.LOST)
 
     # What a request may still do: the one place for effects, budget and further attempts
 
@@ -456,9 +458,7 @@
                 r.volume.undrawn = max(0.0, r.volume.undrawn - r.units)
             part, usual = r.volume.inside(r.units, self.now), self.usual[r.shard]
             if not usual.served:  # at its end: a request must not make room for itself at a cold node
-                usual.frozen = False
-                usual.fade(self.now)
-                usual.units += part
+                usual.add(part, self.now)
         self._free_key(r)
 
     def _free_key(self, r: Request) -> None:
@@ -521,7 +521,7 @@
     def _park(self, lane: Lane, node: Node, wait_us: int) -> None:
         """Nothing of a lane can be sent before its limit has room, or its first request is past its time."""
         lane.parked = True
-        at = min(self.now + wait_us, lane.line[0].due - int(node.lag))
+        at = min(self.now + wait_us, lane.line[0].due - int(node.lag * lane.line[0].size))
         self._timer(max(self.now + CYCLE_US, at), "unpark", lane)
 
     def _weed(self, lane: Lane, node: Node | None = None) -> None:
@@ -530,9 +530,10 @@
         This meets every cause of a backlog alike (a surge, a slow, silent, lost or cold node).
         It does harm where a late answer is worth nearly as much as one in time."""
         # With nothing out the usual time is old news: one bad spell must not starve a node for ever.
-        margin = int(node.lag) if node and node.open else 0
+        lag = node.lag if node and node.open else 0.0
         while lane.line:
             r = lane.line[0]
+            margin = int(lag * r.size)
             wait = self._cold_wait(node, r) if node else 0
             if self.now + max(margin, wait) <= r.due and (not r.sent or self._may_send(r, None)):
                 return
@@ -600,6 +601,7 @@
             node.cold_units += r.units
             node.cold_level -= r.units
         self.flights[r.id, r.sent] = (r, node, self.now)
+        node.size = max(node.size, r.size) if node.open else r.size
         self._timer(self.now + self._patience(node), "overdue", (r.id, r.sent))
         r.sent += 1
         r.open = node
@@ -644,7 +646,7 @@
 
     def _patience(self, node: Node) -> int:
         """How long a node may be silent before it is odd."""
-        return int(SILENCE * max(node.usual() if node.lag else self.tightest, 4.0 * CYCLE_US))
+        return int(SILENCE * node.size * max(node.usual() if node.lag else self.tightest, 4.0 * CYCLE_US))
 
     def _write_off(self, key: tuple[str, int]) -> None:
         """Take an attempt that later answers have overtaken out of the window.
@@ -656,18 +658,19 @@
         if flight is None:
             return
         r, node = flight[0], flight[1]
-        if node.heard_us - flight[2] > node.usual():
+        if node.heard_us - flight[2] > node.usual() * r.size:
             self.lost.add(key)
             node.open -= 1
             node.quiet_us = self.now if node.open else None
             # An answer that was lost loses the request: end the attempt while another can be in time.
-            r.open, useful = None, self.now + node.usual() < r.due and r.cls.semantics is not Semantics.ONCE
-            if useful and self.settings.may_cancel and self._may_send(r, node):
+            r.open, useful = None, self.now + node.usual() * r.size < r.due and self.settings.may_cancel
+            if useful and r.cls.semantics is not Semantics.ONCE and self._may_send(r, node):
                 self.actions.append(Cancel(*key))
             r.open = node
             self.touched.update({node.shard: None, -1: None})
         else:  # an answer that does not come is late long before the client's deadline says so
-            self._adapt(node, flight[2], self.now - flight[2], True, Result.TIMEOUT)
+            late_us = (self.now - flight[2]) / r.size
+            self._adapt(node, flight[2], late_us, True, Result.TIMEOUT)
             self._timer(self.now + self._patience(node), "overdue", key)
 
     def _health_allows(self, node: Node, r: Request) -> bool:
@@ -698,16 +701,13 @@
 
     def _warmth(self, node: Node) -> float:
         """The part of its capacity that a node has at least, a stretch of the rule ago."""
-        s = self.settings
-        aged = max(0, self.now - (node.born_us or 0) - s.fall_us)
+        s, aged = self.settings, max(0, self.now - (node.born_us or 0) - self.settings.fall_us)
         return s.cold_share + (1 - s.cold_share) * aged / s.ramp_us
 
     def _cold(self, node: Node) -> bool:
         """Whether a node is cold; this host's bucket there is brought up to date.
 
-        Programs ask in runs, so a bucket that holds no more than one request would lose most of its
-        part. It may save up as much as keeps the sum of many hosts' runs, each at its own moment, within
-        twice their mean: with the hosts' count, since the runs of many even out.
+        Programs ask in runs, so a bucket may save up what keeps the sum of many hosts' within twice its mean.
         """
         if node.born_us is None:
             return False
@@ -718,7 +718,8 @@
             return False
         while node.cold_sends and node.cold_sends[0][0] < self.now - s.fall_us:
             node.cold_units -= node.cold_sends.popleft()[1]
-        part = min(1.0, COLD_PART * s.tip_multiple * self._warmth(node))
+        warm = self._warmth(node)  # the warmer it is, the less chance counts in what it bears
+        part = min(1.0, COLD_PART * max(1.0, warm / (1.5 * s.cold_share or 1.0))) * s.tip_multiple * warm
         node.cold_rate = self.usual[node.shard].rate() * part
         top = node.cold_rate * s.fall_us * s.hosts / COLD_RUNS if s.hosts > FEW else 0.0
         node.cold_level = min(top, node.cold_level + node.cold_rate * (self.now - node.cold_us))
@@ -730,7 +731,7 @@
 
         A cold node falls over under what all hosts send it. Each keeps to an even part of what any
         cold node bears, or to its own usual traffic there scaled to the slowest ramp that the
-        settings promise: what the volumes are sized for is within the node's full capacity, so the
+        settings promise: what all hosts were served was within the node's full capacity, so the
         parts add up to no more than a cold one bears, however many the hosts and unknown to each other.
         """
         if not self._cold(node):
