Give each broker at least an even part of half a core's work at a cold node

Counted over all brokers: the lead of a volume moves, so who was served at the shard no longer asks there, and who asks has no usual traffic (policy._cold).

Change: a broker's rate at a cold node is at least an even part of half of what one core serves by the answer times of warm nodes, scaled by the warmth as before.

--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -157,7 +157,7 @@
         self.down_us = 0  # when it was first not reached since its last answer
         self.heard_us = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
-        self.cold_units, self.cold_level, self.cold_rate, self.cold_us = 0.0, 0.0, 0.0, 0
+        self.cold_units, self.cold_level, self.cold_rate, self.cold_us, self.warm = 0.0, 0.0, 0.0, 0, 1.0
 
     def usual(self) -> float:
         return self.lag + self.dev  # with its spread
@@ -184,6 +184,7 @@
         self.timers: list[tuple[int, int, str, object]] = []
         self.count = 0
         self.wake_us: int | None = None
+        self.pace = 0.0  # answer time of a request of mean size at warm nodes
         self.cycle_us = 0  # when every waiting lane is visited next
         # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
         self.tightest = min(cls.aim_us for cls in settings.classes)
@@ -358,6 +359,7 @@
         if event.result is Result.OK:
             if node.born_us is None and node.condition is Condition.ACTIVE:
                 self.usual[node.shard].served = True
+                self.pace += (lag - self.pace) * (SMOOTH / 4 if self.pace else 1.0)
                 self.usual[node.shard].add(r.units, self.now)
             error = lag - node.lag
             node.lag += error * (SMOOTH if node.lag else 1.0)
@@ -699,11 +701,6 @@
         node.unreached = node.probes = node.probe_us = 0  # from here on the cold guard paces it
         node.cold_level = -(self.settings.units_mean or self.settings.units_top) * self.random.random()
 
-    def _warmth(self, node: Node) -> float:
-        """The part of its capacity that a node has at least, a stretch of the rule ago."""
-        s, aged = self.settings, max(0, self.now - (node.born_us or 0) - self.settings.fall_us)
-        return s.cold_share + (1 - s.cold_share) * aged / s.ramp_us
-
     def _cold(self, node: Node) -> bool:
         """Whether a node is cold; this host's bucket there is brought up to date.
 
@@ -718,9 +715,12 @@
             return False
         while node.cold_sends and node.cold_sends[0][0] < self.now - s.fall_us:
             node.cold_units -= node.cold_sends.popleft()[1]
-        warm = self._warmth(node)  # the warmer it is, the less chance counts in what it bears
+        aged = max(0, self.now - node.born_us - s.fall_us) / s.ramp_us
+        node.warm = warm = s.cold_share + (1 - s.cold_share) * aged  # at least, a stretch of the rule ago
         part = min(1.0, COLD_PART * max(1.0, warm / (1.5 * s.cold_share or 1.0))) * s.tip_multiple * warm
-        node.cold_rate = self.usual[node.shard].rate() * part
+        # An even part of half of what a core of a warm node serves: for those whom the lead has just come to.
+        even = COLD_PART * s.units_mean / self.pace / s.hosts if self.pace else 0.0
+        node.cold_rate = max(self.usual[node.shard].rate(), even) * part
         top = node.cold_rate * s.fall_us * s.hosts / COLD_RUNS if s.hosts > FEW else 0.0
         node.cold_level = min(top, node.cold_level + node.cold_rate * (self.now - node.cold_us))
         node.cold_us = self.now
@@ -729,16 +729,14 @@
     def _cold_wait(self, node: Node, r: Request) -> int:
         """How long until a cold node may be sent a request; 0 is now.
 
-        A cold node falls over under what all hosts send it. Each keeps to an even part of what any
-        cold node bears, or to its own usual traffic there scaled to the slowest ramp that the
-        settings promise: what all hosts were served was within the node's full capacity, so the
-        parts add up to no more than a cold one bears, however many the hosts and unknown to each other.
+        A cold node falls over under what all hosts send it. Each keeps to an even part of what any cold node
+        bears, or to its own usual traffic there scaled to the slowest ramp that the settings tell: what all
+        hosts were served was within the full capacity, so the parts add up to no more than it bears.
         """
         if not self._cold(node):
             return 0
-        s, warm = self.settings, self._warmth(node)
-        rest = (node.born_us or 0) + s.ramp_us - self.now
-        even = s.cold_units / s.hosts * (warm / s.cold_share if s.cold_share else 1.0)
+        s, rest = self.settings, (node.born_us or 0) + self.settings.ramp_us - self.now
+        even = s.cold_units / s.hosts * (node.warm / s.cold_share if s.cold_share else 1.0)
         if node.cold_units + r.units <= even or (node.cold_rate and node.cold_level >= 0):
             return 0
         if r.units <= even * 2:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+import pytest
 from conftest import SETTINGS, START, Rig, finals, sends
 
 from lemonridge import api
@@ -345,6 +346,7 @@
 def test_a_cold_nodes_bucket_saves_up_a_run_of_many_hosts_but_not_of_few() -> None:
     for hosts, saved in ((40, True), (4, False)):
         rig = Rig(replace(SETTINGS, hosts=hosts, cold_units=1.0))
+        rig.listed(("a", 0))
         for _ in range(40):
             rig.now += 250_000
             rig.end(rig.ask(units=2.0))
@@ -859,3 +861,18 @@
         rig.pass_time(200_000)
         assert rig.policy._suspect(node) is suspect
         rig.end(name)
+
+
+def test_a_host_that_the_lead_has_just_come_to_has_an_even_part_of_a_cold_node() -> None:
+    """It was served little there, and much elsewhere, by which it knows what a core serves."""
+    rig = Rig(replace(SETTINGS, hosts=40, cold_units=1.0))
+    rig.listed(("a", 0), ("b", 1))
+    rig.end(rig.ask(units=2.0), lag=100_000)
+    for _ in range(10):
+        rig.now += 1_000_000
+        rig.end(rig.ask(shard=1, units=2.0), node="b", lag=100_000)
+    rig.listed(("a", 0, Condition.ACTIVE, rig.now), kind=ListKind.PATCH)
+    rig.now += 1_000_000
+    rig.ask(units=2.0)
+    core = 2.0 / 100_000  # units a microsecond
+    assert rig.policy.nodes["a"].cold_rate == pytest.approx(0.5 * core / 40 * 0.5 * 2.5 * 0.2, rel=0.2)
