--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -14,6 +14,7 @@
 from lemonridge.core.directory import Directory, Listing
 from lemonridge.counters import Counters
 from lemonridge.net.watching import Backoff, client
+from lemonridge.policy import ASK_TOP_US
 
 log = logging.getLogger(__name__)
 
@@ -70,7 +71,7 @@
     """
     if not settings.asks_list:
         return PAUSE_S, PAUSE_TOP_S
-    within_s = settings.ask_within_us / 1e6
+    within_s = (settings.ask_within_us or ASK_TOP_US) / 1e6
     first_s = max(PAUSE_S, min(EACH_S * settings.hosts, within_s / 2))
     return first_s, max(first_s, within_s)
 
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -35,6 +35,7 @@
 DOWN_US = 1_000_000  # not reached for so long: it restarted; shorter takes a reset connect for that
 USUAL_US = 10_000_000  # memory of this host's usual traffic to a shard: lasting against moving with the lead
 COLD_PART = 0.5  # part of what tips the coldest node over that all hosts use: speed against chance
+COLD_LOW = 1.5  # that part grows once a node is so many times as warm as the coldest: chance against speed
 COLD_RUNS = 4.0  # a host saves up this part of all hosts' mean at a cold node: use against chance
 CROWD_HELD = 4.0  # more than this held for each of this host, and late: many senders; lower rests sooner
 CROWD_BACK = 1 / 16  # where a host goes on after the first good answer of a crowded node
@@ -717,7 +718,7 @@
             node.cold_units -= node.cold_sends.popleft()[1]
         aged = max(0, self.now - node.born_us - s.fall_us) / s.ramp_us
         node.warm = warm = s.cold_share + (1 - s.cold_share) * aged  # at least, a stretch of the rule ago
-        part = min(1.0, COLD_PART * max(1.0, warm / (1.5 * s.cold_share or 1.0))) * s.tip_multiple * warm
+        part = min(1.0, COLD_PART * max(1.0, warm / (COLD_LOW * s.cold_share or 1.0))) * s.tip_multiple * warm
         # An even part of half of what a core of a warm node serves: for those whom the lead has just come to.
         even = COLD_PART * s.units_mean / self.pace / s.hosts if self.pace else 0.0
         node.cold_rate = max(self.usual[node.shard].rate(), even) * part
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -193,3 +193,4 @@
     assert len(told) == 40 and sorted(told)[35] < 10
     assert len(answered(*discovery.pauses(replace(asked, asks_list=False)), False)) < 30
     assert discovery.pauses(replace(asked, hosts=3))[0] < 0.5
+    assert discovery.pauses(replace(asked, ask_within_us=0)) == (4.0, 8.0)  # the settings need not say
