Begin no attempt within a cycle of the deadline, where it could only fail what never ran

The real fronts never tell Started, so the deadline timer gives up every request (policy._wake, "deadline"); _give_up counts an open attempt as one that may have run. _weed let a probe of the unreached node go out up to the deadline itself (seen 4 ms before it in the module alone), so a connect still out when the timer fired made a failure of a write that never left the broker.

Ruled out: the carrier's order of pieces, the session to the killed node (none was open), a port reused.

--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -530,15 +530,15 @@
     def _weed(self, lane: Lane, node: Node | None = None) -> None:
         """Answer at once what can no longer be in time, so that what can be goes first.
 
-        This meets every cause of a backlog alike (a surge, a slow, silent, lost or cold node).
-        It does harm where a late answer is worth nearly as much as one in time."""
-        # With nothing out the usual time is old news: one bad spell must not starve a node for ever.
-        lag = node.lag if node and node.open else 0.0
+        This meets every cause of a backlog alike (a surge, a slow, silent, lost or cold node). A send needs a
+        cycle before the deadline: one that times out fails what may not be resent, though it never ran."""
+        lag = node.lag if node and node.open else 0.0  # else old news: one bad spell must not starve it
         while lane.line:
             r = lane.line[0]
             margin = int(lag * r.size)
             wait = self._cold_wait(node, r) if node else 0
-            if self.now + max(margin, wait) <= r.due and (not r.sent or self._may_send(r, None)):
+            in_time = self.now + max(margin, wait) <= min(r.due, r.deadline - CYCLE_US)
+            if in_time and (not r.sent or self._may_send(r, None)):
                 return
             self._give_up(r, Why.COLD if wait > margin else Why.LATE)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+import conftest
 import pytest
 from conftest import SETTINGS, START, Rig, finals, sends
 
@@ -876,3 +877,24 @@
     rig.ask(units=2.0)
     core = 2.0 / 100_000  # units a microsecond
     assert rig.policy.nodes["a"].cold_rate == pytest.approx(0.5 * core / 40 * 0.5 * 2.5 * 0.2, rel=0.2)
+
+
+
+def test_no_attempt_is_begun_that_cannot_end_before_the_deadline() -> None:
+    """A write whose aim is its deadline, to a node that is not reached, is tried until the deadline: a try
+    begun in its last moments would still be out when it passes, and fail what never ran."""
+    aimed = replace(conftest.WRITE, aim_us=1_000_000, deadline_us=1_000_000)
+    settings = replace(SETTINGS, classes=(conftest.READ, aimed, conftest.ORDER), max_attempts=4)
+    for seed in range(1, 21):
+        rig = Rig(settings, seed)
+        rig.listed(("a", 0))
+        name = rig.ask(cls=1)
+        deadline, begun, seen = rig.now + 1_000_000, [], []
+        while rig.now < deadline and name not in finals(seen):
+            if name in sends(rig.actions):
+                begun.append(rig.now)
+                seen += rig.end(name, Result.UNREACHED, lag=100)
+            rig.now += 1_000
+            seen += rig.do(api.Woke())
+        assert max(begun) <= deadline - 10_000, seed
+        assert finals(seen) == {name: api.Refuse}
