Add open-loop load on the platform's front, with stand-in disk nodes and discovery

Change: lab/standins_http.py holds a disk node (cores, a bounded queue, exponential work, a stall, turning away unrun with X-Not-Run) and discovery (whole list, watches that end with a change or their wait; a stop ends them). lab/load_http.py sends PROTOCOL's requests by an open loop, times from when each was due, HdrHistograms by class, and `standing` starts the real broker on a file of its own before N nodes. Ruled out: bytes of our own for the client.

--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -160,6 +160,9 @@
             raise ConfigError("load: --target must lie on loopback")
         port = at.port
 
+    if options.name == "http":
+        return _load_http(options, port)
+
     async def whole() -> tool.Tally:
         def plan(port: int) -> tool.Plan:
             return tool.Plan(port, options.iqn, options.rate, options.seconds, options.size_kib * 1024,
@@ -183,6 +186,43 @@
     return 0 if tally.served else 1
 
 
+def _load_http(options: argparse.Namespace, port: int) -> int:
+    """`lemonridge load http`: at `--target`, or at a broker before `--serve-standins` nodes of its own."""
+    from lemonridge.lab import load_http as tool
+
+    if not 1 <= options.serve_standins <= 64 or not 1 <= options.connections <= 1024:
+        raise ConfigError("load: --serve-standins from 1 to 64, --connections from 1 to 1024")
+    if not 10 <= options.deadline_ms <= 60_000:
+        raise ConfigError("load: --deadline-ms from 10 to 60000")
+
+    def plan(at: int) -> tool.Plan:
+        return tool.Plan(at, options.rate, options.seconds, deadline_ms=options.deadline_ms,
+                         arrivals=options.arrivals, connections=options.connections,
+                         seed=options.seed)  # fmt: skip
+
+    async def whole() -> tuple[tool.Tally, dict[str, int]]:
+        if port:
+            return await tool.run(plan(port), print), {}
+        async with tool.standing(options.serve_standins, deadline_ms=options.deadline_ms,
+                                 seed=options.seed) as (program, at, _):  # fmt: skip
+            tally = await tool.run(plan(at), print)
+        return tally, program.counts
+
+    try:
+        tally, counts = asyncio.run(whole())
+    except ProgramError as error:
+        print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
+        return 1
+    if options.hdr:
+        with open(options.hdr, "w", encoding="ascii") as file:
+            for kind, held in tally.times.items():
+                file.write(f"{kind},{held.encode().decode()}\n")
+    broker = {f"broker_{name}": counts.get(name, 0) for name in ("answers.served", "answers.refused",
+                                                                 "answers.failed", "connections.opened")}
+    print(line({"load": "http", **tally.figures(), **(broker if counts else {})}))
+    return 0 if tally.served else 1
+
+
 def demo(options: argparse.Namespace) -> int:
     """`lemonridge demo`: 0 if most was served though a node died."""
     if not 2 <= options.seconds <= 3600:
--- a/lemonridge/lab/load.py
+++ b/lemonridge/lab/load.py
@@ -64,19 +64,19 @@
         return told
 
 
-def gaps(plan: Plan, random: Random) -> Callable[[], float]:
-    """The time from one command to the next."""
-    if plan.arrivals == "even":
-        return lambda: 1 / plan.rate
-    if plan.arrivals == "bursty":
+def gaps(rate: float, arrivals: str, random: Random) -> Callable[[], float]:
+    """The time from one arrival to the next, in seconds: `poisson`, `even`, or `bursty` (twenty at once)."""
+    if arrivals == "even":
+        return lambda: 1 / rate
+    if arrivals == "bursty":
         left = [0]
 
         def gap() -> float:
             left[0] = left[0] - 1 if left[0] else 19
-            return 0.0 if left[0] else random.expovariate(plan.rate / 20)
+            return 0.0 if left[0] else random.expovariate(rate / 20)
 
         return gap
-    return lambda: random.expovariate(plan.rate)
+    return lambda: random.expovariate(rate)
 
 
 async def run(plan: Plan, say: Callable[[str], None] = lambda text: None) -> Tally:
@@ -87,7 +87,7 @@
     name = "iqn.2026-12.org.lemonridge:load"
     clients = [Client(link, plan.target, f"{name}-{number}", 1, 0, Random(number), None, none)
                for number in range(plan.sessions)]  # fmt: skip
-    next_gap, out = gaps(plan, random), set[asyncio.Task[None]]()
+    next_gap, out = gaps(plan.rate, plan.arrivals, random), set[asyncio.Task[None]]()
     due = began = loop.time()
     told = began + TICK_S
     data = bytes(plan.size)
--- /dev/null
+++ b/lemonridge/lab/load_http.py
@@ -0,0 +1,206 @@
+"""An open-loop generator of the platform's requests (PROTOCOL, "Clients to brokers"), and a broker for it.
+
+As in `load`, a request's time counts from when it was due, sent then or not: a server that stalls shows in
+the tail with every request that came meanwhile, not with one a connection. Connections are held as clients
+hold them: one request at a time on each, a new one while all are busy, up to `connections`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from lemonridge.lab.load import DIGITS, HIGHEST_US, TICK_S, gaps
+from lemonridge.lab.program import Program, ProgramError
+from lemonridge.lab.standins_http import Discovery, DiskNode
+
+READY_S = 15.0  # for the broker's first list
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """`rate` requests a second for `seconds`; each of a class at random, of `volumes`, for a shard at random.
+
+    A class is (name, writes): a write is a `PUT` with a body of `units` times 64 bytes and an idempotency
+    key."""
+
+    port: int
+    rate: float
+    seconds: float
+    classes: tuple[tuple[str, bool], ...] = (("read", False), ("new-write", True))
+    plan: str = "priority"
+    volumes: int = 16
+    shards: int = 2
+    units: int = 2
+    deadline_ms: int = 1500
+    arrivals: str = "poisson"
+    connections: int = 64
+    outstanding: int = 2000  # past it a request is not sent, and counted so
+    seed: int = 1
+
+
+@dataclass
+class Tally:
+    """Counts by outcome (PROTOCOL's table of answers), and the times of served requests by class, in µs."""
+
+    classes: tuple[str, ...]
+    due: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    lost: int = 0
+    unsent: int = 0
+    times: dict[str, Any] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.times = {name: HdrHistogram(1, HIGHEST_US, DIGITS) for name in self.classes}
+
+    def figures(self) -> dict[str, object]:
+        told: dict[str, object] = {name: getattr(self, name)
+                                   for name in ("due", "served", "refused", "failed", "lost", "unsent")}
+        for name, held in self.times.items():
+            for part in (50, 99, 99.9):
+                told[f"{name}_p{part:g}_ms"] = round(held.get_value_at_percentile(part) / 1000, 2)
+        return told
+
+
+def headers(plan: Plan, number: int, cls: str, writes: bool, volume: int, shard: int) -> dict[str, str]:
+    """The headers of one request; its id is new with each, as PROTOCOL asks."""
+    told = {"X-Request-Id": f"{plan.seed & 0xFFFFFFFF:08x}{number:08x}", "X-Class": cls,
+            "X-Qos-Policy": plan.plan, "X-Deadline-Ms": str(plan.deadline_ms),
+            "X-Placement": f"units={plan.units},shard={shard},hosts=1"}  # fmt: skip
+    if writes:
+        told["Idempotency-Key"] = f"{volume:x}-{number:x}"
+    return told
+
+
+async def run(plan: Plan, say: Callable[[str], None] = lambda text: None) -> Tally:
+    """Send what is due, and wait for what is out; `say` gets a line a second."""
+    loop, random = asyncio.get_running_loop(), Random(plan.seed)
+    tally = Tally(tuple(name for name, _ in plan.classes))
+    next_gap, out = gaps(plan.rate, plan.arrivals, random), set[asyncio.Task[None]]()
+    connector = aiohttp.TCPConnector(limit=plan.connections, force_close=False)
+    patience_s = plan.deadline_ms / 1000 + 1.0  # what a client would wait, and a second more
+    async with aiohttp.ClientSession(f"http://127.0.0.1:{plan.port}", connector=connector) as session:
+
+        async def one(at: float, number: int, cls: str, writes: bool, volume: int, shard: int) -> None:
+            path = f"/{cls}/{volume:016x}/{number:016x}"
+            body = b"w" * (64 * plan.units) if writes else None
+            try:
+                async with asyncio.timeout_at(at + patience_s):
+                    told = headers(plan, number, cls, writes, volume, shard)
+                    method = "PUT" if writes else "GET"
+                    async with session.request(method, path, data=body, headers=told) as got:
+                        await got.read()
+                        status = got.status
+            except (aiohttp.ClientError, TimeoutError):
+                tally.lost += 1
+                return
+            if status == 200:
+                tally.served += 1
+                took = min(HIGHEST_US, max(1, int((loop.time() - at) * 1e6)))
+                tally.times[cls].record_value(took)
+            elif status in (429, 503):
+                tally.refused += 1
+            else:
+                tally.failed += 1
+
+        due = began = loop.time()
+        told = began + TICK_S
+        while (due := due + next_gap()) < began + plan.seconds:
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            tally.due += 1
+            # Every draw is made whether or not the request is sent, so that the day is the same.
+            cls, writes = random.choice(plan.classes)
+            volume, shard = 1 + random.randrange(plan.volumes), random.randrange(plan.shards)
+            if len(out) >= plan.outstanding:
+                tally.unsent += 1
+                continue
+            task = asyncio.create_task(one(due, tally.due, cls, writes, volume, shard))
+            out.add(task)
+            task.add_done_callback(out.discard)
+            if loop.time() >= told:
+                told += TICK_S
+                say(f"at {loop.time() - began:.0f} s: due {tally.due} served {tally.served} "
+                    f"refused {tally.refused} failed {tally.failed} out {len(out)}")
+        if out:
+            await asyncio.wait(out)
+    return tally
+
+
+def facts(shards: int, deadline_ms: int) -> dict[str, Any]:
+    """The settings of a small site for the stand-ins: a read and a keyed write, each aiming at its end."""
+    cls = {"aim-us": deadline_ms * 1000, "deadline-us": deadline_ms * 1000, "gain": 2.0,
+           "memory-span-us": 3_000_000}  # fmt: skip
+    return {
+        "fleet-size": 1, "discovery": "push", "tick-us": 2000, "azs": ["hall-a"],
+        "classes": [{**cls, "group": "all", "name": "read", "semantics": "repeatable"},
+                    {**cls, "group": "cell", "name": "new-write", "semantics": "by_key"}],
+        "grades": [{"base-rate": 2000.0, "burst": 0.0, "cap": 0.0, "guaranteed": 2000.0, "limit-slack": 0.0,
+                    "name": "priority", "weight": 1.0, "worth-factor": 1.0}],
+        "family-info": {"class-writes": [False, True], "cold-units": 1000.0, "meter-us": 0,
+                        "n-shards": shards, "tells-elsewhere": False, "unit-mean": 2.0, "units-top": 6},
+        "limits": {"cancelling": True, "connect-timeout-us": 250000, "keepalive-us": 15000000,
+                   "max-attempts": 4, "max-retry-after-us": 500000, "retry-after": True},
+        "rules": {"cold-share": 0.2, "drain-grace-us": 500000, "fall-us": 1000000, "ramp-time-us": 1000000,
+                  "tip-multiple": 2.5},
+    }  # fmt: skip
+
+
+@asynccontextmanager
+async def standing(count: int, shards: int = 2, deadline_ms: int = 1500, seed: int = 1,
+                   ) -> AsyncGenerator[tuple[Program, int, list[DiskNode]], None]:
+    """The broker on the platform's front before `count` stand-in nodes (node n holds shard n modulo `shards`)
+    and discovery, ready; its port and the nodes, until the block ends, when it is stopped (ProgramError if it
+    does not end well)."""
+    discovery = await Discovery().start()
+    nodes = [await DiskNode(f"s-{n}", n % shards, seed=seed + n).start() for n in range(count)]
+    try:
+        for node in nodes:
+            await discovery.set(node.row())
+        with TemporaryDirectory() as folder:
+            config = Path(folder) / "config.json"
+            config.write_text(json.dumps({
+                "name": "load", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}",
+                "seed": f"{seed:016x}", "known": {}, "settings": facts(shards, deadline_ms),
+                "limits": {"sockets": 1024}}))  # fmt: skip
+            program = Program("serve", environment={"ROUTER_CONFIG": str(config)})
+            try:
+                port = await program.start()
+                await _ready(port)
+                yield program, port, nodes
+                await program.stop()
+            finally:
+                if program.process.returncode is None:
+                    program.process.kill()
+                    await program.process.wait()
+    finally:
+        for node in nodes:
+            await node.stop()
+        await discovery.stop()
+
+
+async def _ready(port: int) -> None:
+    """Until `GET /-/ready` answers 200; ProgramError after READY_S."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + READY_S
+    async with aiohttp.ClientSession() as session:
+        while loop.time() < until:
+            try:
+                async with session.get(f"http://127.0.0.1:{port}/-/ready") as got:
+                    if got.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.02)
+    raise ProgramError(f"not ready in {READY_S:g} s")
--- a/lemonridge/lab/program.py
+++ b/lemonridge/lab/program.py
@@ -21,9 +21,10 @@
 class Program:
     """One broker. `heard` gets every log line as a dictionary of its keys, with the time of its arrival."""
 
-    def __init__(self, *arguments: str, cwd: str | None = None) -> None:
-        """`cwd` is where another checkout of the program lies; None: this one."""
-        self._arguments, self._cwd = arguments, cwd
+    def __init__(self, *arguments: str, cwd: str | None = None,
+                 environment: dict[str, str] | None = None) -> None:
+        """`cwd` is where another checkout of the program lies; None: this one. `environment` adds to ours."""
+        self._arguments, self._cwd, self._environment = arguments, cwd, environment or {}
         self.heard: list[Callable[[float, dict[str, str]], None]] = []
         self.counts: dict[str, int] = {}
         self.last: list[str] = []
@@ -33,7 +34,8 @@
         """The port that it listens on."""
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lemonridge", *self._arguments, stderr=asyncio.subprocess.PIPE,
-            cwd=self._cwd, env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"})  # fmt: skip
+            cwd=self._cwd, env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1", **self._environment},
+        )  # fmt: skip
         self._reader = asyncio.create_task(self._read())
         async with asyncio.timeout_at(asyncio.get_running_loop().time() + START_S):
             return await self._listening
