Play one deployment in the model and on sockets, side by side within bounds: lab validate

Nothing compared them.

The load tool draws volumes, their shards and units from the model's table, and a stand-in's work grows with the units told in the query. `lemonridge lab validate`; tests of the bounds and of the draws.

Ruled out: the first gap (the program's p99 a third of the model's at 0.6) was the workload, one shard at random and two units each; with the model's draws it closed.

--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -203,7 +203,14 @@
     plot.add_argument("--factor", required=True)
     plot.add_argument("--figure", default="service")
     plot.add_argument("--by", help="a line for each level of this factor")
-    for name, part in (("run", run), ("one", one), ("compare", compare), ("plot", plot)):
+    validate = parts.add_parser("validate", help="the model against the real program before stand-ins")
+    validate.add_argument("--nodes", type=int, default=4)
+    validate.add_argument("--work-ms", type=float, default=50.0, help="of a mean request on a core")
+    validate.add_argument("--load", type=float, default=0.6, help="of what the nodes can do")
+    validate.add_argument("--seconds", type=float, default=10.0)
+    validate.add_argument("--seed", type=int, default=1)
+    parts_named = (("run", run), ("one", one), ("compare", compare), ("plot", plot), ("validate", validate))
+    for name, part in parts_named:
         part.set_defaults(run=_lab, part=name)
 
 
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -107,6 +107,8 @@
         return 0
     if options.part == "run":
         return _lab_run(options)
+    if options.part == "validate":
+        return _lab_validate(options)
     from lemonridge.lab.model import report
 
     if options.part == "compare":
@@ -143,6 +145,29 @@
     return 0 if not died and not wrong else 1
 
 
+def _lab_validate(options: argparse.Namespace) -> int:
+    """`lemonridge lab validate`: the figures side by side; 0 only where each lies within its bound."""
+    from lemonridge.lab import validate
+
+    if not 1 <= options.nodes <= 32 or not 1 <= options.work_ms <= 1000 or not 0 < options.load <= 1.5:
+        raise ConfigError("validate: --nodes from 1 to 32, --work-ms from 1 to 1000, --load above 0 to 1.5")
+    if not 1 <= options.seconds <= 600:
+        raise ConfigError("validate: --seconds from 1 to 600")
+    try:
+        rows = validate.validate(options.nodes, options.work_ms, options.load, options.seconds, options.seed)
+    except ProgramError as error:
+        print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
+        return 1
+    for row in rows:
+        print(f"{row.name:8} model {row.model:10.3f}  program {row.real:10.3f}  bound {row.bound:8.3f}  "
+              f"{'held' if row.held else 'NOT HELD'}")
+    figures: dict[str, object] = {"lab": "validate", "held": int(all(row.held for row in rows))}
+    for row in rows:
+        figures[f"{row.name}_model"], figures[f"{row.name}_program"] = round(row.model, 3), round(row.real, 3)
+    print(line(figures))
+    return 0 if figures["held"] else 1
+
+
 def load(options: argparse.Namespace) -> int:
     """`lemonridge load`: a line a second, then the summary; 1 where nothing was served."""
     try:
--- a/lemonridge/lab/load_http.py
+++ b/lemonridge/lab/load_http.py
@@ -32,7 +32,8 @@
     """`rate` requests a second for `seconds`; each of a class at random, of `volumes`, for a shard at random.
 
     A class is (name, writes): a write is a `PUT` with a body of `units` times 64 bytes and an idempotency
-    key."""
+    key. Where `units_top` is set, units are drawn evenly from 1 to it. Where `table` holds volumes as
+    (weight, shards), a volume is drawn by weight and its shard among its own, as the model draws them."""
 
     port: int
     rate: float
@@ -42,6 +43,8 @@
     volumes: int = 16
     shards: int = 2
     units: int = 2
+    units_top: int = 0
+    table: tuple[tuple[float, tuple[int, ...]], ...] = ()
     deadline_ms: int = 1500
     arrivals: str = "poisson"
     connections: int = 64
@@ -74,11 +77,12 @@
         return told
 
 
-def headers(plan: Plan, number: int, cls: str, writes: bool, volume: int, shard: int) -> dict[str, str]:
+def headers(plan: Plan, number: int, cls: str, writes: bool, volume: int, shard: int,
+            units: int) -> dict[str, str]:
     """The headers of one request; its id is new with each, as PROTOCOL asks."""
     told = {"X-Request-Id": f"{plan.seed & 0xFFFFFFFF:08x}{number:08x}", "X-Class": cls,
             "X-Qos-Policy": plan.plan, "X-Deadline-Ms": str(plan.deadline_ms),
-            "X-Placement": f"units={plan.units},shard={shard},hosts=1"}  # fmt: skip
+            "X-Placement": f"units={units},shard={shard},hosts=1"}  # fmt: skip
     if writes:
         told["Idempotency-Key"] = f"{volume:x}-{number:x}"
     return told
@@ -93,12 +97,13 @@
     patience_s = plan.deadline_ms / 1000 + 1.0  # what a client would wait, and a second more
     async with aiohttp.ClientSession(f"http://127.0.0.1:{plan.port}", connector=connector) as session:
 
-        async def one(at: float, number: int, cls: str, writes: bool, volume: int, shard: int) -> None:
-            path = f"/{cls}/{volume:016x}/{number:016x}"
-            body = b"w" * (64 * plan.units) if writes else None
+        async def one(at: float, number: int, cls: str, writes: bool, volume: int, shard: int,
+                      units: int) -> None:
+            path = f"/{cls}/{volume:016x}/{number:016x}?units={units}"
+            body = b"w" * (64 * units) if writes else None
             try:
                 async with asyncio.timeout_at(at + patience_s):
-                    told = headers(plan, number, cls, writes, volume, shard)
+                    told = headers(plan, number, cls, writes, volume, shard, units)
                     method = "PUT" if writes else "GET"
                     async with session.request(method, path, data=body, headers=told) as got:
                         await got.read()
@@ -122,11 +127,12 @@
             tally.due += 1
             # Every draw is made whether or not the request is sent, so that the day is the same.
             cls, writes = random.choice(plan.classes)
-            volume, shard = 1 + random.randrange(plan.volumes), random.randrange(plan.shards)
+            volume, shard = _place(plan, random)
+            units = 1 + random.randrange(plan.units_top) if plan.units_top else plan.units
             if len(out) >= plan.outstanding:
                 tally.unsent += 1
                 continue
-            task = asyncio.create_task(one(due, tally.due, cls, writes, volume, shard))
+            task = asyncio.create_task(one(due, tally.due, cls, writes, volume, shard, units))
             out.add(task)
             task.add_done_callback(out.discard)
             if loop.time() >= told:
@@ -138,6 +144,14 @@
     return tally
 
 
+def _place(plan: Plan, random: Random) -> tuple[int, int]:
+    """A volume, from 1, and its shard."""
+    if not plan.table:
+        return 1 + random.randrange(plan.volumes), random.randrange(plan.shards)
+    number = random.choices(range(len(plan.table)), [weight for weight, _ in plan.table])[0]
+    return 1 + number, random.choice(plan.table[number][1])
+
+
 def facts(shards: int, deadline_ms: int) -> dict[str, Any]:
     """The settings of a small site for the stand-ins: a read and a keyed write, each aiming at its end."""
     cls = {"aim-us": deadline_ms * 1000, "deadline-us": deadline_ms * 1000, "gain": 2.0,
@@ -158,13 +172,15 @@
 
 
 @asynccontextmanager
-async def standing(count: int, shards: int = 2, deadline_ms: int = 1500, seed: int = 1,
+async def standing(count: int, shards: int = 2, deadline_ms: int = 1500, seed: int = 1, *, cores: int = 2,
+                   queue: int = 64, work_ms: float = 2.0, units_mean: float = 0.0,
                    ) -> AsyncGenerator[tuple[Program, int, list[DiskNode]], None]:
     """The broker on the platform's front before `count` stand-in nodes (node n holds shard n modulo `shards`)
     and discovery, ready; its port and the nodes, until the block ends, when it is stopped (ProgramError if it
     does not end well)."""
     discovery = await Discovery().start()
-    nodes = [await DiskNode(f"s-{n}", n % shards, seed=seed + n).start() for n in range(count)]
+    nodes = [await DiskNode(f"s-{n}", n % shards, cores, queue, work_ms, seed + n, units_mean).start()
+             for n in range(count)]  # fmt: skip
     try:
         for node in nodes:
             await discovery.set(node.row())
--- a/lemonridge/lab/standins_http.py
+++ b/lemonridge/lab/standins_http.py
@@ -25,8 +25,9 @@
 class DiskNode:
     """One disk node: `cores` requests run at once, `queue` more wait, the rest are turned away.
 
-    Work takes an exponential time of mean `work_ms`. `stall_s` holds every request that comes while it is
-    positive that long before it begins: a node that pauses, as a collector or a disk may make it."""
+    Work takes an exponential time of mean `work_ms`, or, where `units_mean` is set, of `work_ms` times the
+    request's units (`?units=` of the query) over `units_mean`, as the model's nodes do. `stall_s` holds every
+    request that comes while it is positive that long before it begins: a node that pauses."""
 
     name: str
     shard: int
@@ -34,6 +35,7 @@
     queue: int = 64
     work_ms: float = 2.0
     seed: int = 1
+    units_mean: float = 0.0
     stall_s: float = 0.0
     born_ms: int = 0
     port: int = 0
@@ -68,6 +70,8 @@
         told = request.headers.get("X-Placement", "")
         placement = dict(part.partition("=")[::2] for part in told.split(","))
         shard = int(placement.get("shard", "-1") or -1)
+        units = request.query.get("units") or placement.get("units") or "1"  # a broker passes the query on
+        scale = float(units) / self.units_mean if self.units_mean else 1.0
         if (shard not in (-1, self.shard)) or self.running >= self.cores + self.queue:
             self.turned += 1
             return web.Response(status=503, headers={"X-Not-Run": "1"})
@@ -76,7 +80,7 @@
             if self.stall_s > 0:
                 await asyncio.sleep(self.stall_s)
             async with self._cores:
-                await asyncio.sleep(self._random.expovariate(1000 / self.work_ms))
+                await asyncio.sleep(self._random.expovariate(1000 / self.work_ms) * scale)
         finally:
             self.running -= 1
         self.served += 1
--- a/tests/test_load_http.py
+++ b/tests/test_load_http.py
@@ -66,3 +66,26 @@
             async with session.get(f"http://127.0.0.1:{node.port}/read/1/1", headers=headers) as got:
                 self.assertEqual((got.status, got.headers.get("X-Not-Run")), (503, "1"))
         self.assertEqual((node.served, node.turned), (0, 1))
+
+
+class Validation(unittest.TestCase):
+    def test_a_figure_outside_its_bound_is_not_held(self) -> None:
+        from lemonridge.lab import validate
+
+        model = {"served": 0.99, "p50_ms": 100.0, "p99_ms": 400.0}
+        near = {"served": 0.98, "p50_ms": 120.0, "p99_ms": 500.0}
+        far = {"served": 0.90, "p50_ms": 140.0, "p99_ms": 600.0}
+        self.assertTrue(all(row.held for row in validate.compare(model, near)))
+        self.assertEqual([row.held for row in validate.compare(model, far)], [False, False, False])
+
+    def test_the_load_draws_volumes_and_shards_as_the_models_table_says(self) -> None:
+        from random import Random
+
+        from lemonridge.lab.load_http import Plan, _place
+
+        plan = Plan(1, 1.0, 1.0, table=((3.0, (0, 1)), (1.0, (2,))))
+        random = Random(4)
+        drawn = [_place(plan, random) for _ in range(4000)]
+        self.assertEqual({shard for volume, shard in drawn if volume == 2}, {2})
+        self.assertEqual({shard for volume, shard in drawn if volume == 1}, {0, 1})
+        self.assertAlmostEqual(sum(volume == 1 for volume, _ in drawn) / len(drawn), 0.75, delta=0.03)
