Share one open loop, one tally and one listener among the lab's load tools and stand-ins

Found on reading the change again: load_http.py had copied load.py's sending loop (due times, unsent past the bound, the line a second) and its Tally with figures(); command.py wrote HdrHistogram files twice; the two HTTP stand-ins and the etcd stand-in each set up aiohttp's low-level server the same way; discovery's history was rebuilt by a slice on each change.

Change: load.open_loop drives both tools, each giving a draw that returns the request to send (closed unsent past the bound); load.Tally takes its kinds and records a served time in one place, and load_http uses it; command._write_hdr writes both files; standins_http.listen serves the node, discovery and etcd's stand-in; discovery keeps its last 256 changes in a bounded deque. The draws and their order are as before.

--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import sys
+from typing import Any
 
 import orjson
 
@@ -204,9 +205,7 @@
         print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
         return 1
     if options.hdr:
-        with open(options.hdr, "w", encoding="ascii") as file:
-            for kind, held in tally.times.items():
-                file.write(f"{kind},{held.encode().decode()}\n")
+        _write_hdr(options.hdr, tally.times)
     print(line({"load": options.name, **tally.figures()}))
     return 0 if tally.served else 1
 
@@ -214,6 +213,7 @@
 def _load_http(options: argparse.Namespace, port: int) -> int:
     """`lemonridge load http`: at `--target`, or at a broker before `--serve-standins` nodes of its own."""
     from lemonridge.lab import load_http as tool
+    from lemonridge.lab.load import Tally
 
     if not 1 <= options.serve_standins <= 64 or not 1 <= options.connections <= 1024:
         raise ConfigError("load: --serve-standins from 1 to 64, --connections from 1 to 1024")
@@ -225,7 +225,7 @@
                          arrivals=options.arrivals, connections=options.connections,
                          seed=options.seed)  # fmt: skip
 
-    async def whole() -> tuple[tool.Tally, dict[str, int]]:
+    async def whole() -> tuple[Tally, dict[str, int]]:
         if port:
             return await tool.run(plan(port), print), {}
         async with tool.standing(options.serve_standins, deadline_ms=options.deadline_ms,
@@ -239,15 +239,20 @@
         print(f"lemonridge: the broker failed: {error}", file=sys.stderr)
         return 1
     if options.hdr:
-        with open(options.hdr, "w", encoding="ascii") as file:
-            for kind, held in tally.times.items():
-                file.write(f"{kind},{held.encode().decode()}\n")
+        _write_hdr(options.hdr, tally.times)
     broker = {f"broker_{name}": counts.get(name, 0) for name in ("answers.served", "answers.refused",
                                                                  "answers.failed", "connections.opened")}
     print(line({"load": "http", **tally.figures(), **(broker if counts else {})}))
     return 0 if tally.served else 1
 
 
+def _write_hdr(path: str, times: dict[str, Any]) -> None:
+    """One HdrHistogram a kind, a line each: the kind, a comma, the histogram in its compressed form."""
+    with open(path, "w", encoding="ascii") as file:
+        for kind, held in times.items():
+            file.write(f"{kind},{held.encode().decode()}\n")
+
+
 def demo(options: argparse.Namespace) -> int:
     """`lemonridge demo`: 0 if most was served though a node died."""
     if not 2 <= options.seconds <= 3600:
--- a/lemonridge/lab/etcd.py
+++ b/lemonridge/lab/etcd.py
@@ -16,6 +16,8 @@
 import orjson
 from aiohttp import web
 
+from lemonridge.lab.standins_http import listen
+
 CHUNK = 7  # bytes of a watch's stream that are written together
 
 
@@ -67,11 +69,7 @@
         self._news = asyncio.Condition()
 
     async def start(self) -> Etcd:
-        self._runner = web.ServerRunner(web.Server(self._serve))
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", self.port)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self._runner, self.port = await listen(self._serve, self.port)
         return self
 
     async def stop(self) -> None:
--- a/lemonridge/lab/load.py
+++ b/lemonridge/lab/load.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -44,16 +44,24 @@
 
 @dataclass
 class Tally:
-    """Counts by outcome, and times in microseconds by kind."""
+    """Counts by outcome, and times in microseconds by kind: a command's (read, write) or a class's name."""
 
+    kinds: tuple[str, ...] = ("read", "write")
     due: int = 0
     served: int = 0
     refused: int = 0
     failed: int = 0
     lost: int = 0
     unsent: int = 0
-    times: dict[str, Any] = field(default_factory=lambda: {
-        kind: HdrHistogram(1, HIGHEST_US, DIGITS) for kind in ("read", "write")})  # fmt: skip
+    times: dict[str, Any] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.times = {kind: HdrHistogram(1, HIGHEST_US, DIGITS) for kind in self.kinds}
+
+    def took(self, kind: str, due: float, now: float) -> None:
+        """One served, due at `due` and answered at `now`, in seconds of the loop's clock."""
+        self.served += 1
+        self.times[kind].record_value(min(HIGHEST_US, max(1, int((now - due) * 1e6))))
 
     def figures(self) -> dict[str, object]:
         told: dict[str, object] = {name: getattr(self, name)
@@ -64,6 +72,36 @@
         return told
 
 
+async def open_loop(tally: Tally, rate: float, arrivals: str, seconds: float, outstanding: int,
+                    random: Random, draw: Callable[[float, int], Coroutine[Any, Any, None]],
+                    say: Callable[[str], None]) -> None:
+    """Call `draw(due, number)` at each time that is due for `seconds`, and run what it gives unless
+    `outstanding` are out, when it is counted as unsent; then wait for what is out. `say` gets a line a
+    second.
+
+    `draw` makes its draws whether or not its request is sent, so that the day is the same."""
+    loop, next_gap, out = asyncio.get_running_loop(), gaps(rate, arrivals, random), set[asyncio.Task[None]]()
+    due = began = loop.time()
+    told = began + TICK_S
+    while (due := due + next_gap()) < began + seconds:
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        tally.due += 1
+        sending = draw(due, tally.due)
+        if len(out) >= outstanding:
+            sending.close()
+            tally.unsent += 1
+            continue
+        task = asyncio.create_task(sending)
+        out.add(task)
+        task.add_done_callback(out.discard)
+        if loop.time() >= told:
+            told += TICK_S
+            say(f"at {loop.time() - began:.0f} s: due {tally.due} served {tally.served} "
+                f"refused {tally.refused} failed {tally.failed} out {len(out)}")
+    if out:
+        await asyncio.wait(out)
+
+
 def gaps(rate: float, arrivals: str, random: Random) -> Callable[[], float]:
     """The time from one arrival to the next, in seconds: `poisson`, `even`, or `bursty` (twenty at once)."""
     if arrivals == "even":
@@ -87,9 +125,6 @@
     name = "iqn.2026-12.org.lemonridge:load"
     clients = [Client(link, plan.target, f"{name}-{number}", 1, 0, Random(number), None, none)
                for number in range(plan.sessions)]  # fmt: skip
-    next_gap, out = gaps(plan.rate, plan.arrivals, random), set[asyncio.Task[None]]()
-    due = began = loop.time()
-    told = began + TICK_S
     data = bytes(plan.size)
 
     async def one(client: Client, at: float, writes: bool, lun: int, place: int) -> None:
@@ -101,32 +136,18 @@
             tally.lost += 1
             return
         if status == 0:
-            tally.served += 1
-            took = min(HIGHEST_US, max(1, int((loop.time() - at) * 1e6)))
-            tally.times["write" if writes else "read"].record_value(took)
+            tally.took("write" if writes else "read", at, loop.time())
         elif status in (0x08, 0x28):
             tally.refused += 1
         else:
             tally.failed += 1
 
-    while (due := due + next_gap()) < began + plan.seconds:
-        await asyncio.sleep(max(0.0, due - loop.time()))
-        tally.due += 1
-        # Every draw is made whether or not the command is sent, so that the day is the same.
+    def draw(due: float, number: int) -> Coroutine[Any, Any, None]:
         writes, lun = random.random() < plan.writes, random.choice(plan.luns)
         place = random.randrange(max(1, plan.blocks - plan.size // 512))
-        if len(out) >= plan.outstanding:
-            tally.unsent += 1
-            continue
-        task = asyncio.create_task(one(clients[tally.due % plan.sessions], due, writes, lun, place))
-        out.add(task)
-        task.add_done_callback(out.discard)
-        if loop.time() >= told:
-            told += TICK_S
-            say(f"at {loop.time() - began:.0f} s: due {tally.due} served {tally.served} "
-                f"refused {tally.refused} failed {tally.failed} out {len(out)}")
-    if out:
-        await asyncio.wait(out)
+        return one(clients[number % plan.sessions], due, writes, lun, place)
+
+    await open_loop(tally, plan.rate, plan.arrivals, plan.seconds, plan.outstanding, random, draw, say)
     for client in clients:
         await client.close()
     return tally
--- a/lemonridge/lab/load_http.py
+++ b/lemonridge/lab/load_http.py
@@ -9,18 +9,17 @@
 
 import asyncio
 import json
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Coroutine
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
 from typing import Any
 
 import aiohttp
-from hdrh.histogram import HdrHistogram
 
-from lemonridge.lab.load import DIGITS, HIGHEST_US, TICK_S, gaps
+from lemonridge.lab.load import Tally, open_loop
 from lemonridge.lab.program import Program, ProgramError
 from lemonridge.lab.standins_http import Discovery, DiskNode
 
@@ -52,31 +51,6 @@
     seed: int = 1
 
 
-@dataclass
-class Tally:
-    """Counts by outcome (PROTOCOL's table of answers), and the times of served requests by class, in µs."""
-
-    classes: tuple[str, ...]
-    due: int = 0
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    lost: int = 0
-    unsent: int = 0
-    times: dict[str, Any] = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.times = {name: HdrHistogram(1, HIGHEST_US, DIGITS) for name in self.classes}
-
-    def figures(self) -> dict[str, object]:
-        told: dict[str, object] = {name: getattr(self, name)
-                                   for name in ("due", "served", "refused", "failed", "lost", "unsent")}
-        for name, held in self.times.items():
-            for part in (50, 99, 99.9):
-                told[f"{name}_p{part:g}_ms"] = round(held.get_value_at_percentile(part) / 1000, 2)
-        return told
-
-
 def headers(plan: Plan, number: int, cls: str, writes: bool, volume: int, shard: int,
             units: int) -> dict[str, str]:
     """The headers of one request; its id is new with each, as PROTOCOL asks."""
@@ -89,11 +63,11 @@
 
 
 async def run(plan: Plan, say: Callable[[str], None] = lambda text: None) -> Tally:
-    """Send what is due, and wait for what is out; `say` gets a line a second."""
+    """Send what is due, and wait for what is out; `say` gets a line a second. Times are of served requests,
+    by class; 429 and 503 are refusals (PROTOCOL's table of answers)."""
     loop, random = asyncio.get_running_loop(), Random(plan.seed)
     tally = Tally(tuple(name for name, _ in plan.classes))
-    next_gap, out = gaps(plan.rate, plan.arrivals, random), set[asyncio.Task[None]]()
-    connector = aiohttp.TCPConnector(limit=plan.connections, force_close=False)
+    connector = aiohttp.TCPConnector(limit=plan.connections)
     patience_s = plan.deadline_ms / 1000 + 1.0  # what a client would wait, and a second more
     async with aiohttp.ClientSession(f"http://127.0.0.1:{plan.port}", connector=connector) as session:
 
@@ -112,35 +86,19 @@
                 tally.lost += 1
                 return
             if status == 200:
-                tally.served += 1
-                took = min(HIGHEST_US, max(1, int((loop.time() - at) * 1e6)))
-                tally.times[cls].record_value(took)
+                tally.took(cls, at, loop.time())
             elif status in (429, 503):
                 tally.refused += 1
             else:
                 tally.failed += 1
 
-        due = began = loop.time()
-        told = began + TICK_S
-        while (due := due + next_gap()) < began + plan.seconds:
-            await asyncio.sleep(max(0.0, due - loop.time()))
-            tally.due += 1
-            # Every draw is made whether or not the request is sent, so that the day is the same.
+        def draw(due: float, number: int) -> Coroutine[Any, Any, None]:
             cls, writes = random.choice(plan.classes)
             volume, shard = _place(plan, random)
             units = 1 + random.randrange(plan.units_top) if plan.units_top else plan.units
-            if len(out) >= plan.outstanding:
-                tally.unsent += 1
-                continue
-            task = asyncio.create_task(one(due, tally.due, cls, writes, volume, shard, units))
-            out.add(task)
-            task.add_done_callback(out.discard)
-            if loop.time() >= told:
-                told += TICK_S
-                say(f"at {loop.time() - began:.0f} s: due {tally.due} served {tally.served} "
-                    f"refused {tally.refused} failed {tally.failed} out {len(out)}")
-        if out:
-            await asyncio.wait(out)
+            return one(due, number, cls, writes, volume, shard, units)
+
+        await open_loop(tally, plan.rate, plan.arrivals, plan.seconds, plan.outstanding, random, draw, say)
     return tally
 
 
--- a/lemonridge/lab/standins_http.py
+++ b/lemonridge/lab/standins_http.py
@@ -10,6 +10,8 @@
 
 import asyncio
 import contextlib
+from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -21,6 +23,15 @@
 BODY = b"x" * 64
 
 
+async def listen(serve: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+                 port: int) -> tuple[web.ServerRunner, int]:
+    """aiohttp's low-level server on loopback at `port` (0: the system chooses); its runner and its port."""
+    runner = web.ServerRunner(web.Server(serve))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    return runner, runner.addresses[0][1]
+
+
 @dataclass
 class DiskNode:
     """One disk node: `cores` requests run at once, `queue` more wait, the rest are turned away.
@@ -47,10 +58,7 @@
 
     async def start(self) -> DiskNode:
         self._random, self._cores = Random(self.seed), asyncio.Semaphore(self.cores)
-        self._runner = web.ServerRunner(web.Server(self._serve))
-        await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", self.port).start()
-        self.port = self._runner.addresses[0][1]
+        self._runner, self.port = await listen(self._serve, self.port)
         return self
 
     async def stop(self) -> None:
@@ -93,15 +101,12 @@
     def __init__(self) -> None:
         self.seq, self.port = 1, 0
         self.rows: dict[str, dict[str, Any]] = {}
-        self._changed: list[tuple[int, dict[str, Any]]] = []  # the last 256 changes
+        self._changed: deque[tuple[int, dict[str, Any]]] = deque(maxlen=256)  # older watchers: the whole list
         self._news = asyncio.Condition()
         self._closing = False
 
     async def start(self) -> Discovery:
-        self._runner = web.ServerRunner(web.Server(self._serve))
-        await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", self.port).start()
-        self.port = self._runner.addresses[0][1]
+        self._runner, self.port = await listen(self._serve, self.port)
         return self
 
     async def stop(self) -> None:
@@ -118,7 +123,7 @@
             self.rows.pop(row["host"], None)
         else:
             self.rows[row["host"]] = row
-        self._changed = [*self._changed[-255:], (self.seq, row)]  # older watchers get the whole list
+        self._changed.append((self.seq, row))
         async with self._news:
             self._news.notify_all()
 
