Answer operators' calls: nodes out and back, drain and resume; take a passed socket

Calls: a listener of its own at admin_addr, parsing pure (operate/calls.py), every caller bounded in number (32, the longest there goes first), bytes and time. Maintenance (operate/maintenance.py): bans lie over discovery's news in core/directory.py alone, so the module sees one condition. Rejected: to write the ban into the listing, which the next patch or whole list would undo. A node that is back counts as started with the call back until discovery tells a start within the ban; it was restarted unseen. Life (operate/life.py): drain, handover and end are three marks in time, the strictest holds; the end on SIGTERM uses the same machine. Rejected: to end all kept connections with the drain's first answer, since who keeps one may reach nobody else; to close idle ones at once, which crosses requests. Passed socket: a copy of the inherited descriptor is listened at, so that ending it ends nothing for another process.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -15,6 +15,9 @@
 from lemonridge.net.discovery import Discovery, MalformedError, listings
 from lemonridge.net.http_front import HttpFront
 from lemonridge.net.http_nodes import HttpNodes
+from lemonridge.net.operators import Operators
+from lemonridge.operate.calls import Call, Order, Reply
+from lemonridge.operate.life import Life, Phase
 from lemonridge.service import Service
 
 if TYPE_CHECKING:
@@ -50,7 +53,8 @@
 
     watch(known if settings.asks_list else None)  # one that must be asked has to look up less that way
     broker = Broker(made.decider, nodes, made.counters)
-    made.front = front = HttpFront(platform, broker, made.directory, made.clock, made.counters)
+    life = Life(max(cls.deadline_us for cls in settings.classes))
+    made.front = front = HttpFront(platform, broker, made.directory, made.clock, made.counters, life)
 
     def configure(new: Platform) -> None:
         """Go by a new configuration. Nothing is awaited between its parts, so no request meets half of
@@ -64,10 +68,45 @@
             watch()
 
     made.configure = configure
-    await front.start(platform.listen)
+    front.bind(platform.listen, platform.passed)
+    if platform.admin is not None:
+        operators = Operators(Desk(made, front, life).act, made.counters)
+        await operators.start(platform.admin)
+        made.ended = operators.stop
+    await front.listen()
     return made
 
 
+class Desk:
+    """Does what operators ask. A yes means that it is in force."""
+
+    def __init__(self, service: Service, front: HttpFront, life: Life) -> None:
+        self._directory, self._clock = service.directory, service.clock
+        self._front, self._life = front, life
+
+    async def act(self, order: Order) -> Reply:
+        """One call; `Reply` says whether it is done, and why not."""
+        if order.call is Call.READY:
+            return self._ready()
+        if order.call is Call.DISABLE:
+            done = self._directory.disable(order.node)
+            return Reply(done, "out" if done else "unknown node, or too many are out")
+        if order.call is Call.ENABLE:
+            done = self._directory.enable(order.node)
+            return Reply(done, "in use as discovery says" if done else "unknown node")
+        done = self._life.drain(self._clock.now_us()) if order.call is Call.DRAIN else self._life.resume()
+        self._front.changed()
+        return Reply(done, self._life.phase.value)
+
+    def _ready(self) -> Reply:
+        """Whether this process can serve; a drain asks it not to be used, it could be."""
+        if self._life.phase is Phase.STOPPING:
+            return Reply(False, "stopping")
+        if not self._directory.listed:
+            return Reply(False, "no list of nodes yet")
+        return Reply(self._front.listens, self._life.phase.value)
+
+
 async def serve(platform: Platform | None, iscsi: Iscsi | None) -> None:
     """Every front that is configured, until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
--- a/lemonridge/config.py
+++ b/lemonridge/config.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -59,6 +59,8 @@
     shards: int  # 0 where they are not told
     known: Mapping[str, Any]
     filed: Mapping[str, Any]  # the keys that have a variable, as the file itself has them
+    admin: Address | None = None  # where operators call; None: nowhere
+    passed: int | None = None  # the descriptor of the clients' listening socket, where it is handed down
 
 
 def _limit(facts: Mapping[str, Any], name: str) -> int:
@@ -109,9 +111,21 @@
         platform = _platform(told, seed, filed)
     except SettingsError as error:
         raise ConfigError(str(error)) from None
-    if before is not None and (platform.name, platform.listen) != (before.name, before.listen):
+    if before is not None:
+        return _running(platform, before)
+    admin = environment.get("ROUTER_ADMIN_ADDR") or told.get("admin_addr")
+    passed = environment.get("ROUTER_PASSED_SOCKET") or None
+    if passed is not None and not (passed.isascii() and passed.isdigit() and len(passed) < 8):
+        raise ConfigError(f"ROUTER_PASSED_SOCKET must be a descriptor's number, not {passed!r}")
+    return replace(platform, admin=Address.parse(admin, "'admin_addr'") if admin else None,
+                   passed=None if passed is None else int(passed))  # fmt: skip
+
+
+def _running(platform: Platform, before: Platform) -> Platform:
+    """The new configuration of a program that runs: where it listens stays as it is."""
+    if (platform.name, platform.listen) != (before.name, before.listen):
         raise ConfigError("'name' and 'listen' change at a start only")
-    return platform
+    return replace(platform, admin=before.admin, passed=before.passed)
 
 
 def _platform(told: dict[str, Any], seed: int, filed: Mapping[str, Any]) -> Platform:
--- a/lemonridge/core/directory.py
+++ b/lemonridge/core/directory.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from lemonridge import api
+from lemonridge.operate.maintenance import Back, Maintenance
 
 log = logging.getLogger(__name__)
 
@@ -26,28 +28,76 @@
 
 
 class Directory:
-    """The map from node to address, kept in step with what the decisions are told."""
+    """The map from node to address, kept in step with what the decisions are told.
 
-    def __init__(self, sink: Sink) -> None:
-        self._sink = sink
-        self._nodes: dict[str, Listing] = {}
+    Here alone discovery's news and the operators' bans come together: everyone behind it sees one condition.
+    """
+
+    def __init__(self, sink: Sink, now_us: Callable[[], int]) -> None:
+        self._sink, self._now_us = sink, now_us
+        self._told: dict[str, Listing] = {}  # as discovery says
+        self._nodes: dict[str, Listing] = {}  # with the bans laid over it
+        self._maintenance = Maintenance()
         self.listed = False
 
     def take(self, kind: api.ListKind, listings: list[Listing]) -> None:
         """Apply a change, or a whole list: a node that it does not name is gone."""
         if kind is not api.ListKind.PATCH:
-            self._nodes = {}
+            self._told, self._nodes = {}, {}
         for listing in listings:
             if listing.entry.condition is api.Condition.LEFT:
-                self._nodes.pop(listing.entry.node, None)
+                self._told.pop(listing.entry.node, None)
             else:
-                self._nodes[listing.entry.node] = listing
+                self._told[listing.entry.node] = listing
             entry = listing.entry
             log.info("listed", extra={
                 "node": entry.node, "condition": entry.condition.value, "shard": entry.shard,
                 "started_us": entry.started_us, "address": listing.address})  # fmt: skip
+        self._maintenance.prune(self._told)
         self.listed = self.listed or bool(listings) or kind is api.ListKind.WHOLE  # also an empty one is news
-        self._sink.tell(api.Listed(kind, tuple(listing.entry for listing in listings)))
+        self._tell(kind, listings)
+
+    def _tell(self, kind: api.ListKind, listings: list[Listing]) -> None:
+        """Lay the bans over these lines, and pass them on."""
+        lines = [Listing(self._maintenance.over(one.entry), one.address) for one in listings]
+        for line in lines:
+            if line.entry.condition is api.Condition.LEFT:
+                self._nodes.pop(line.entry.node, None)
+            else:
+                self._nodes[line.entry.node] = line
+        self._sink.tell(api.Listed(kind, tuple(line.entry for line in lines)))
+
+    def _retell(self, node: str) -> None:
+        """A ban on a node began or ended. One that discovery does not list has nothing to be told of."""
+        if (told := self._told.get(node)) is not None:
+            self._tell(api.ListKind.PATCH, [told])
+
+    def disable(self, node: str) -> bool:
+        """Nothing more to this node, whatever discovery says; False where it is not known, or too many are
+        out already."""
+        if node not in self._told and node not in self._maintenance:
+            return False
+        if not self._maintenance.disable(node, self._now_us()):
+            return False
+        self._retell(node)
+        return True
+
+    def enable(self, node: str) -> bool:
+        """End the ban on a node; False where it is not known."""
+        if self._maintenance.enable(node, self._now_us()):
+            self._retell(node)
+            return True
+        return node in self._told
+
+    def bans(self) -> tuple[Mapping[str, int], Mapping[str, Back]]:
+        """What operators have taken out and called back, for a process that takes over."""
+        return self._maintenance.out(), self._maintenance.back()
+
+    def inherit(self, out: Mapping[str, int], back: Mapping[str, Back]) -> None:
+        """Go by the bans of the process before this one."""
+        self._maintenance.inherit(out, back)
+        for node in (*out, *back):
+            self._retell(node)
 
     def entries(self) -> tuple[api.Entry, ...]:
         return tuple(listing.entry for listing in self._nodes.values())
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -16,6 +16,7 @@
 from lemonridge.counters import Counters
 from lemonridge.net import heads
 from lemonridge.net.wire import BODY_MAX
+from lemonridge.operate.life import Life, Phase
 
 WAIT_S = 2.0  # a connection with no open request may be closed after that
 KEEP_S = 10.0  # an idle one is kept so long while there is room
@@ -46,8 +47,8 @@
 class Room:
     """Every connection of a front, by state, the longest there first."""
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
-        self.clock, self.counters = clock, counters
+    def __init__(self, clock: Clock, counters: Counters, life: Life) -> None:
+        self.clock, self.counters, self.life = clock, counters, life
         self._loop = asyncio.get_running_loop()
         self._states: tuple[dict[Connection, float], ...] = tuple({} for _ in State)
         self._sockets = self.buffer_max = 0  # until it is configured
@@ -96,6 +97,11 @@
         """Whether a request is open."""
         return bool(self._states[State.BUSY])
 
+    def changed(self) -> None:
+        """The life's state has changed: look again at once when connections are to be closed."""
+        self._timer.cancel()
+        self._sweep()
+
     def close_waiting(self) -> None:
         """End every connection that has no open request."""
         for state in SPARED_S:
@@ -106,6 +112,8 @@
         """End what has waited for too long."""
         now = self._loop.time()
         self._timer = self._loop.call_at(now + SWEEP_S, self._sweep)
+        if self.clock.now_us() >= self.life.closes_us:
+            self.close_waiting()
         keep = KEEP_S if len(self) <= self._sockets * ROOMY else WAIT_S
         for state, limit in ((State.LEAVING, LINGER_S), (State.FRESH, WAIT_S), (State.PARTIAL, WAIT_S),
                              (State.IDLE, keep)):  # fmt: skip
@@ -123,8 +131,7 @@
 class Connection(asyncio.Protocol):
     """One client's connection, between its socket and aiohttp's handler."""
 
-    def __init__(self, room: Room, server: web.Server, by_handler: dict[object, Connection],
-                 late: bool) -> None:
+    def __init__(self, room: Room, server: web.Server, by_handler: dict[object, Connection]) -> None:
         self._room, self._server, self._by_handler = room, server, by_handler
         self._handler: web.RequestHandler | None = None
         self._data = bytearray()
@@ -132,7 +139,7 @@
         self._need = 0  # the length of the request that has begun, once its head is there
         self._over = self._paused = False
         self.state: State | None = None  # the room keeps it
-        self.late = late  # it came when the program was to end: it is not kept
+        self.late = room.life.phase is Phase.STOPPING  # it came when the program was to end: it is not kept
         self.arrived_us = 0  # when the first byte of the request came
         self.stuck_at: float | None = None  # since when the client has not taken what is written
 
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -23,16 +23,13 @@
 from lemonridge.net.heads import BadMessageError
 from lemonridge.net.http_connection import Connection, Room
 from lemonridge.net.wire import BODY_MAX, Payload
+from lemonridge.operate.life import FAR_US, Life
 
 log = logging.getLogger(__name__)
 
 MARGIN_US = 10_000  # before the client gives up: the way of the request here and of the answer back
 BACKLOG = 1024  # connections that wait to be accepted
 ACCEPTS = 16  # in one turn of the loop: more would pass the limit on sockets before room is made
-TAIL_S = 0.5  # at the end each answer ends its connection for so long, then no more are taken
-LAST_S = 0.9  # and what was taken last has still so long
-KILLED_US = 3_000_000  # SIGKILL comes no sooner than the longest deadline, of which no more than this counts
-SPARE_US = 400_000  # and 0.7 s after SIGTERM: all is to be answered by then
 HEX = re.compile(r"[0-9a-f]{16}", re.I)
 PATH = re.compile(r"/([^/]+)/([0-9a-f]{16})/([0-9a-f]{16})", re.I)
 PLACEMENT = re.compile(r"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),shard=(-1|[0-9]{1,9}),hosts=([0-9]{1,9})")
@@ -44,15 +41,15 @@
     """Serves the platform's clients."""
 
     def __init__(self, platform: Platform, broker: Broker, directory: Directory, clock: Clock,
-                 counters: Counters) -> None:
+                 counters: Counters, life: Life) -> None:
         self._broker, self._directory = broker, directory
-        self._clock, self._counters = clock, counters
-        self._room = Room(clock, counters)
+        self._clock, self._counters, self._life = clock, counters, life
+        self._room = Room(clock, counters, life)
         self.configure(platform)
+        self._socket: socket.socket | None = None
         self._listener: asyncio.Server | None = None
-        self._stopping = self._closing = False
-        self._last_at: float | None = None  # when the last answer is due, once the program is to end
         self._connections: dict[object, Connection] = {}  # by aiohttp's handler
+        self._scopes: dict[asyncio.Timeout, int] = {}  # of the open requests, with the time that each came
         self._server = web.Server(self._handle, request_factory=_request, handler_cancellation=True,
                                   access_log=None, auto_decompress=False, tcp_keepalive=False,
                                   logger=log)  # fmt: skip
@@ -60,35 +57,69 @@
     def configure(self, platform: Platform) -> None:
         """Go by this configuration from here on."""
         self._platform = platform
+        self._life.configure(max(cls.deadline_us for cls in platform.settings.classes))
         self._room.configure(platform.sockets, platform.memory_bytes // 8)
         self._classes = {name: number for number, name in enumerate(platform.classes)}
         self._plans = {name: number for number, name in enumerate(platform.plans)}
 
-    async def start(self, address: Address) -> None:
-        """Listen; what comes is served from here on."""
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        listener = socket.create_server((address.host, address.port), family=family)
+    def bind(self, address: Address, passed: int | None = None) -> None:
+        """Have the listening socket: a new one, or the one that was passed down as this descriptor. Nothing
+        is taken from it yet. `OSError` where it cannot be had."""
+        if passed is None:
+            family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+            self._socket = socket.create_server((address.host, address.port), family=family)
+            return
+        self._socket = socket.socket(fileno=passed)
+        self._socket.set_inheritable(True)
+        if not self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(f"descriptor {passed} is not a listening socket")
+
+    async def listen(self) -> None:
+        """Take what comes from here on. A copy of the descriptor is listened at, so that to end it ends
+        nothing for another process at the same socket."""
+        if self._listener is not None:
+            return
+        assert self._socket is not None
         self._listener = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self._room, self._server, self._connections, self._stopping),
-            sock=listener, backlog=ACCEPTS)
-        listener.listen(BACKLOG)
-        log.info("listening", extra={"address": "{}:{}".format(*listener.getsockname())})
+            lambda: Connection(self._room, self._server, self._connections), sock=self._socket.dup(),
+            backlog=ACCEPTS)
+        self._socket.listen(BACKLOG)
+        log.info("listening", extra={"address": "{}:{}".format(*self._socket.getsockname())})
+
+    @property
+    def listens(self) -> bool:
+        """Whether new connections are taken."""
+        return self._listener is not None
+
+    def deafen(self) -> None:
+        """Take no new connection; those that are there stay."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     async def stop(self) -> None:
         """Serve on for as long as what is taken can be answered before SIGKILL: clients keep the connections
         that stay open, and reach no one in place of this broker. Then the tail, with `Connection: close`;
         then take no more, and keep no idle connection. A new connection is told to close from the start."""
-        assert self._listener is not None
-        longest_us = max(cls.deadline_us for cls in self._platform.settings.classes)
-        whole_us = min(longest_us, KILLED_US) + SPARE_US
-        self._stopping = True
-        self._last_at = self._clock.loop_time(self._clock.now_us() + whole_us)
-        await asyncio.sleep(max(0.0, whole_us / 1e6 - LAST_S - TAIL_S))
-        self._closing = True
-        await asyncio.sleep(TAIL_S)
-        self._listener.close()
+        self._life.stop(self._clock.now_us())
+        self.changed()
+        await asyncio.sleep((self._life.ends_us - self._clock.now_us()) / 1e6)
+        self.deafen()
+        if self._socket is not None:
+            self._socket.close()
         self._room.close_waiting()
 
+    def changed(self) -> None:
+        """Go by a change of the life's state at once."""
+        for scope, arrived_us in self._scopes.items():
+            if not scope.expired():
+                scope.reschedule(self._due(arrived_us))
+        self._room.changed()
+
+    def _due(self, arrived_us: int) -> float | None:
+        due_us = self._life.due(arrived_us)
+        return None if due_us == FAR_US else self._clock.loop_time(due_us)
+
     @property
     def busy(self) -> bool:
         """Whether an answer is still on its way."""
@@ -99,7 +130,7 @@
         connection, keep = self._connections[http.protocol], False
         try:
             response = await self._answer(http, connection.arrived_us)
-            if self._closing or connection.late or 400 <= response.status < 500:
+            if connection.late or not self._life.keeps(self._clock.now_us()) or 400 <= response.status < 500:
                 response.force_close()
             await response.prepare(http)
             await response.write_eof()
@@ -113,16 +144,20 @@
             return self._ready(http)
         try:
             request = await self._parse(http, arrived_us)
-            if self._stopping:
+            if self._life.ends_us != FAR_US:
                 self._counters["requests.stopping"] += 1
             # Not by a nearer deadline: the module takes that for a client that has waited for long already.
-            async with asyncio.timeout_at(self._last_at):
-                return _response(await self._broker.serve(request))
+            async with asyncio.timeout_at(self._due(arrived_us)) as scope:
+                self._scopes[scope] = arrived_us
+                try:
+                    return _response(await self._broker.serve(request))
+                finally:
+                    del self._scopes[scope]
         except BadMessageError as error:
             self._counters["requests.bad"] += 1
             return web.Response(status=error.status, text=f"{error}\n")
         except TimeoutError:
-            return web.Response(status=502)  # SIGKILL is near, and it may have run
+            return web.Response(status=502)  # the end is near, and it may have run
         except DuplicateError:
             self._counters["requests.bad"] += 1
             return web.Response(status=409, text="a request with this X-Request-Id is open\n")
@@ -133,7 +168,7 @@
     def _ready(self, http: web.BaseRequest) -> web.Response:
         if http.method != "GET" or http.path != "/-/ready":
             return web.Response(status=404)
-        up = self._directory.listed and not self._stopping
+        up = self._directory.listed and self._life.ready
         return web.Response(status=200 if up else 503)
 
     async def _parse(self, http: web.BaseRequest, arrived_us: int) -> Request:
--- /dev/null
+++ b/lemonridge/operate/calls.py
@@ -0,0 +1,73 @@
+"""The operators' calls: one line in, one line out. Pure."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from enum import Enum
+
+LINE_MAX = 512  # bytes of a line, its end included; a longer one is refused unread
+_IDENT = re.compile(r"[\x21-\x7e]{1,200}")
+
+
+class Call(Enum):
+    """What can be asked; the value is the word on the wire."""
+
+    READY = "ready"
+    DISABLE = "disable-server"
+    ENABLE = "enable-server"
+    DRAIN = "drain"
+    RESUME = "resume"
+
+
+NAMING = frozenset((Call.DISABLE, Call.ENABLE))  # these name a node
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One call as it was read; `node` is empty where none is named."""
+
+    call: Call
+    node: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The answer: done and in force, or not, with a reason in plain words."""
+
+    done: bool
+    why: str = ""
+
+    def encode(self) -> bytes:
+        """The line on the wire, its end included."""
+        word = "ACK" if self.done else "NAK"
+        return f"{word} {self.why}".rstrip().encode("ascii", "replace") + b"\n"
+
+
+class BadCallError(Exception):
+    """A line that is no call; the text is fit to answer with."""
+
+
+def parse(line: bytes) -> Order:
+    """The call of a line, with or without its end (LF or CRLF); `BadCallError` says what is wrong."""
+    if len(line) > LINE_MAX:
+        raise BadCallError("the line is too long")
+    try:
+        words = line.decode("ascii").split()
+    except UnicodeDecodeError:
+        raise BadCallError("the line is not plain text") from None
+    if not words:
+        raise BadCallError("the line is empty")
+    try:
+        call = Call(words[0])
+    except ValueError:
+        raise BadCallError(f"unknown call; known are {', '.join(one.value for one in Call)}") from None
+    if call not in NAMING:
+        if len(words) > 1:
+            raise BadCallError(f"{call.value} takes no further word")
+        return Order(call)
+    if len(words) != 2:
+        raise BadCallError(f"{call.value} takes one node id")
+    if not _IDENT.fullmatch(words[1]):
+        raise BadCallError("the node id cannot be read")
+    return Order(call, words[1])
--- /dev/null
+++ b/lemonridge/operate/maintenance.py
@@ -0,0 +1,83 @@
+"""Which nodes operators have taken out, laid over what discovery says. Pure.
+
+The ban and the news are kept apart: whatever discovery says of a node meanwhile stands as soon as the ban
+ends, and only then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from lemonridge import api
+
+OUT_MAX = 4096  # nodes that may be out, or be watched after their return, at a time
+
+
+@dataclass(frozen=True, slots=True)
+class Back:
+    """A node that was called back: when it went out and when it came back, in Unix microseconds."""
+
+    out_us: int
+    back_us: int
+
+
+class Maintenance:
+    """The bans in force, and the nodes back from one whose restart discovery has not told yet."""
+
+    def __init__(self) -> None:
+        self._out: dict[str, int] = {}  # since when, in Unix microseconds
+        self._back: dict[str, Back] = {}
+
+    def __contains__(self, node: str) -> bool:
+        return node in self._out
+
+    def out(self) -> Mapping[str, int]:
+        """The nodes that are out, and since when."""
+        return dict(self._out)
+
+    def back(self) -> Mapping[str, Back]:
+        """The nodes that were called back and are taken for cold since then."""
+        return dict(self._back)
+
+    def disable(self, node: str, now_us: int) -> bool:
+        """Take a node out; False where too many are. A second call changes nothing."""
+        if node not in self._out:
+            if len(self._out) >= OUT_MAX:
+                return False
+            self._out[node] = now_us
+        return True
+
+    def enable(self, node: str, now_us: int) -> bool:
+        """Put a node back, however often it was taken out; whether it was out at all."""
+        since = self._out.pop(node, None)
+        if since is None:
+            return False
+        while len(self._back) >= OUT_MAX:
+            del self._back[next(iter(self._back))]
+        self._back[node] = Back(since, now_us)
+        return True
+
+    def inherit(self, out: Mapping[str, int], back: Mapping[str, Back]) -> None:
+        """Take over another process's bans in place of one's own."""
+        self._out, self._back = dict(out), dict(back)
+
+    def prune(self, listed: Iterable[str]) -> None:
+        """Forget the returns of nodes that are not listed any more; a ban outlives its node's listing."""
+        named = set(listed)
+        for node in [one for one in self._back if one not in named]:
+            del self._back[node]
+
+    def over(self, entry: api.Entry) -> api.Entry:
+        """What the decisions are told of a node, given what discovery says.
+
+        A node that is out drains. One that is back was restarted while out, at a moment that discovery tells
+        late: until it does, the node counts as started with the call back, which is the coldest it can be.
+        """
+        if entry.node in self._out:
+            active = entry.condition is api.Condition.ACTIVE
+            return replace(entry, condition=api.Condition.LEAVING) if active else entry
+        back = self._back.get(entry.node)
+        if back is not None and entry.started_us < back.out_us:
+            return replace(entry, started_us=back.back_us)
+        return entry
--- a/lemonridge/service.py
+++ b/lemonridge/service.py
@@ -34,11 +34,12 @@
     def __init__(self, name: str, settings: api.Settings, seed: int, counters: Counters) -> None:
         self.name, self.counters, self.clock = name, counters, Clock(asyncio.get_running_loop())
         self.decider = Decider(settings, seed, self.clock, self.counters)
-        self.directory = Directory(self.decider)
+        self.directory = Directory(self.decider, self.clock.now_us)
         self.decider.relist = self.directory.entries
         self.front: Front
         self.close: Callable[[], Awaitable[None]]
         self.configure: Callable[[Platform], None] | None = None
+        self.ended: Callable[[], None] | None = None  # called last
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     def watch(self, work: Coroutine[None, None, None], what: str = "nodes") -> None:
@@ -60,4 +61,6 @@
         for watch in self._watches.values():
             watch.cancel()
         await self.close()
+        if self.ended is not None:
+            self.ended()
         self.print_counters("exit")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -252,6 +252,7 @@
     """One program, its discovery and one node."""
 
     facts: dict[str, Any] = {}
+    environment: dict[str, str] = {}
     sockets = 1024
 
     async def asyncSetUp(self) -> None:
@@ -274,7 +275,7 @@
             "seed": "8c1f30d27a5be964", "known": known or {}, "settings": facts,
             "limits": {"sockets": self.sockets}}))
         self.config = str(config)
-        self.program = await Program().start("serve", ROUTER_CONFIG=self.config)
+        self.program = await Program().start("serve", ROUTER_CONFIG=self.config, **self.environment)
         self.addAsyncCleanup(self.program.end, signal.SIGKILL)
         self.port = int((await self.program.line("event=listening")).rsplit(":", 1)[1])
 
--- /dev/null
+++ b/tests/test_operate.py
@@ -0,0 +1,277 @@
+"""Operators' calls, maintenance of nodes and the life of the process: pure, and on the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import unittest
+from typing import Any
+
+from harness import PATIENCE_S, Message, PlatformCase, Program, Server, free_port, reply
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lemonridge import api
+from lemonridge.operate import life as times
+from lemonridge.operate.calls import LINE_MAX, BadCallError, Call, Order, parse
+from lemonridge.operate.life import FAR_US, Life, Phase
+from lemonridge.operate.maintenance import Maintenance
+
+
+class Calls(unittest.TestCase):
+    def test_each_call_is_read_with_its_words_and_nothing_more(self) -> None:
+        for call in (Call.READY, Call.DRAIN, Call.RESUME):
+            self.assertEqual(parse(call.value.encode() + b"\r\n"), Order(call))
+        self.assertEqual(parse(b"disable-server  s-5be2a07c"), Order(Call.DISABLE, "s-5be2a07c"))
+        for line, why in ((b"", "empty"), (b"stop", "unknown"), (b"READY", "unknown"),
+                          (b"drain now", "further"), (b"disable-server", "one node id"),
+                          (b"enable-server a b", "one node id"),
+                          (b"ready \xff", "plain"), (b"disable-server \x01", "read"),
+                          (b"x" * (LINE_MAX + 1), "long")):  # fmt: skip
+            with self.subTest(line=line), self.assertRaisesRegex(BadCallError, why):
+                parse(line)
+
+    @given(st.binary(max_size=2 * LINE_MAX))
+    def test_any_bytes_are_a_call_or_get_one_plain_line(self, line: bytes) -> None:
+        try:
+            parse(line)
+        except BadCallError as error:
+            self.assertNotIn("\n", str(error))
+
+
+def entry(started_us: int = 0, condition: api.Condition = api.Condition.ACTIVE) -> api.Entry:
+    return api.Entry("s-1", 0, 0, condition, started_us)
+
+
+class Bans(unittest.TestCase):
+    def test_a_ban_lies_over_what_discovery_says_until_it_is_called_back_once(self) -> None:
+        bans = Maintenance()
+        self.assertFalse(bans.enable("s-1", 5))
+        for now in (10, 20):
+            self.assertTrue(bans.disable("s-1", now))
+        for condition in api.Condition:
+            self.assertIsNot(bans.over(entry(condition=condition)).condition, api.Condition.ACTIVE)
+        self.assertIs(bans.over(entry(condition=api.Condition.LEFT)).condition, api.Condition.LEFT)
+        self.assertTrue(bans.enable("s-1", 30))
+        self.assertIs(bans.over(entry()).condition, api.Condition.ACTIVE)
+
+    def test_a_node_that_is_back_is_cold_from_the_call_until_discovery_tells_its_start(self) -> None:
+        bans = Maintenance()
+        bans.disable("s-1", 10)
+        bans.enable("s-1", 30)
+        self.assertEqual(bans.over(entry(9)).started_us, 30)
+        self.assertEqual(bans.over(entry(25)).started_us, 25)
+        bans.prune(["s-1"])
+        self.assertEqual(bans.over(entry(0)).started_us, 30)
+        bans.prune([])
+        self.assertEqual(bans.over(entry(0)).started_us, 0)
+
+    @given(st.lists(st.tuples(st.sampled_from(["disable", "enable", "prune", "hand"]), st.integers(0, 3))))
+    def test_what_is_out_is_what_was_called_out_last(self, steps: list[tuple[str, int]]) -> None:
+        bans, out = Maintenance(), set()
+        for now, (step, number) in enumerate(steps):
+            node = f"s-{number}"
+            if step == "disable":
+                bans.disable(node, now)
+                out.add(node)
+            elif step == "enable":
+                self.assertEqual(bans.enable(node, now), node in out)
+                out.discard(node)
+            elif step == "prune":
+                bans.prune([])  # nothing is listed any more: a ban stays
+            else:
+                after = Maintenance()
+                after.inherit(bans.out(), bans.back())
+                bans = after
+            self.assertEqual(set(bans.out()), out)
+
+
+S = 1_000_000
+
+
+class Lives(unittest.TestCase):
+    def test_a_drain_ends_every_connection_before_four_seconds(self) -> None:
+        life = Life(6 * S)
+        self.assertTrue(life.drain(10 * S) and life.drain(13 * S))  # the first call sets the times
+        self.assertFalse(life.ready)
+        self.assertTrue(life.keeps(11 * S))
+        self.assertFalse(life.keeps(12 * S))
+        self.assertLess(life.closes_us, 14 * S - times.DRAIN_YOUNG_US // 4)
+        self.assertLess(life.due(12 * S), 14 * S)
+        self.assertEqual(life.due(11 * S), FAR_US)  # it may take its whole time
+        self.assertTrue(life.resume())
+        self.assertTrue(life.ready and life.keeps(15 * S))
+        self.assertEqual((life.closes_us, life.due(13 * S)), (FAR_US, FAR_US))
+
+    def test_all_that_came_after_the_signal_is_answered_before_sigkill(self) -> None:
+        for longest in (S, 6 * S):
+            life = Life(longest)
+            life.stop(10 * S)
+            killed = 10 * S + min(longest, 3 * S) + 700_000
+            self.assertLess(life.due(10 * S), killed)
+            self.assertEqual(life.due(10 * S - 1), FAR_US)
+            self.assertLessEqual(life.closes_us, life.due(10 * S))
+            self.assertFalse(life.drain(11 * S) or life.resume() or life.hand(11 * S))
+
+    def test_the_process_that_was_replaced_speaks_as_its_successor_does(self) -> None:
+        life = Life(S)
+        life.hand(10 * S)
+        self.assertTrue(life.ready)
+        self.assertFalse(life.keeps(10 * S))
+        self.assertEqual(life.closes_us, FAR_US)
+        life.stop(12 * S)
+        self.assertTrue(life.ready)
+        self.assertLess(life.closes_us, FAR_US)
+
+    @given(st.lists(st.tuples(st.sampled_from(["drain", "resume", "hand", "back", "stop"]),
+                              st.integers(0, 5 * S)), max_size=12))  # fmt: skip
+    def test_whatever_happens_an_end_is_final_and_a_drain_is_kept(self, steps: list[tuple[str, int]]) -> None:
+        life, now, stopped, drained = Life(2 * S), 0, False, False
+        for step, later in steps:
+            now += later
+            if step == "drain":
+                drained = life.drain(now) or drained
+            elif step == "resume":
+                drained = drained and not life.resume()
+            elif step == "hand":
+                life.hand(now)
+            elif step == "back":
+                life.take_back()
+            else:
+                life.stop(now)
+                stopped = True
+            self.assertEqual(life.phase is Phase.STOPPING, stopped)
+            if drained:
+                self.assertFalse(life.ready)
+                self.assertFalse(life.keeps(now + 4 * S))
+                self.assertLess(life.closes_us, now + 4 * S)
+            if stopped:
+                self.assertLess(life.closes_us, now + 4 * S)
+
+
+async def call(port: int, line: str, **options: Any) -> str:
+    """One call of an operator; its answer."""
+    async with asyncio.timeout(PATIENCE_S):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(line.encode() + options.get("end", b"\n"))
+        if options.get("shut"):
+            writer.write_eof()
+        answer = await reader.read()
+        writer.close()
+    return answer.decode()
+
+
+class OperatedCase(PlatformCase):
+    """The program with a second address to listen on."""
+
+    async def launch(self, known: dict[str, Any] | None = None) -> None:
+        self.admin = free_port()
+        self.environment = {"ROUTER_ADMIN_ADDR": f"127.0.0.1:{self.admin}", **self.environment}
+        await super().launch(known)
+
+    async def yes(self, line: str) -> None:
+        self.assertTrue((await call(self.admin, line)).startswith("ACK"), line)
+
+    async def no(self, line: str) -> None:
+        self.assertTrue((await call(self.admin, line)).startswith("NAK"), line)
+
+
+class Operated(OperatedCase):
+    async def test_calls_get_one_line_each_and_rude_callers_hold_up_nobody(self) -> None:
+        silent = [await asyncio.open_connection("127.0.0.1", self.admin) for _ in range(50)]
+        for _, writer in silent[:10]:
+            writer.write(b"rea")
+        await self.yes("ready")
+        for line in ("", "halt", "ready now", "disable-server", "disable-server nobody",
+                     "enable-server nobody", "x" * 5000):  # fmt: skip
+            await self.no(line)
+        self.assertTrue((await call(self.admin, "ready", end=b"", shut=True)).startswith("ACK"))
+        self.assertEqual((await call(self.admin, "ready\nstop\n")).count("\n"), 1)
+        counted = await self.program.counters()
+        self.assertGreater(counted["calls.evicted"], 0)
+        self.assertEqual(counted["calls.declined"], 7)
+        for _, writer in silent:
+            writer.close()
+
+    async def test_a_node_that_is_out_gets_nothing_whatever_discovery_says(self) -> None:
+        other = await Server(self.node.script).start()
+        self.assertEqual((await self.client.ask()).status, 200)
+        await self.yes("disable-server s-1")
+        await self.yes("disable-server s-1")
+        before = len(self.node.seen)
+        for health in ("draining", "up"):
+            self.register.set("s-1", self.node.port, health=health)
+            self.assertIn("condition=", await self.program.line("event=listed"))
+            self.assertEqual((await self.client.ask(X_Deadline_Ms="300")).status, 503)
+        self.register.set("s-1", other.port)  # it is back at another address
+        await self.program.line("event=listed")
+        self.assertEqual((await self.client.ask(X_Deadline_Ms="300")).status, 503)
+        await self.yes("enable-server s-1")
+        self.assertEqual((await self.client.ask()).status, 200)
+        self.assertEqual((len(self.node.seen), len(other.seen)), (before, 1))
+
+    async def test_a_ban_during_a_retry_sends_it_nowhere(self) -> None:
+        banned = asyncio.Event()
+
+        async def script(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await self.yes("disable-server s-1")
+            banned.set()
+            reply(writer, status=500)
+
+        self.node.script = script
+        answer = await self.client.ask(X_Deadline_Ms="500")
+        self.assertTrue(banned.is_set())
+        self.assertIn(answer.status, (502, 503))
+        self.assertEqual(len(self.node.seen), 1)
+
+    async def test_a_drain_loses_nothing_and_ends_every_connection(self) -> None:
+        hold = asyncio.Event()
+
+        async def held(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await hold.wait()
+            reply(writer)
+
+        kept, idle = await self.connect(), await self.connect()
+        self.node.script = held
+        open_request = asyncio.create_task(self.client.ask())
+        await self.node.until(lambda: bool(self.node.seen))
+        await self.yes("drain")
+        await self.yes("drain")
+        ready = await (await self.connect(ready=False)).raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(ready.status, 503)
+        hold.set()
+        self.assertEqual((await open_request).status, 200)
+        self.assertEqual((await (await self.connect(ready=False)).ask()).status, 200)  # one that still comes
+        while (await kept.ask()).headers.get("connection") != "close":
+            pass  # it stays of use for a while, and its last answer says so
+        async with asyncio.timeout(times.DRAIN_OVER_US / 1e6):
+            self.assertEqual(await idle.reader.read(), b"")
+        await self.yes("ready")  # it could serve
+        await self.yes("resume")
+        await self.connect()  # it is ready again
+
+    async def test_a_resume_and_a_signal_are_taken_at_any_point_of_a_drain(self) -> None:
+        await self.yes("drain")
+        await self.yes("resume")
+        self.assertNotEqual((await self.client.ask()).headers.get("connection"), "close")
+        await self.yes("resume")
+        await self.yes("drain")
+        self.assertEqual(await self.program.end(signal.SIGTERM), 0)
+
+
+class Addresses(PlatformCase):
+    async def test_an_address_that_cannot_be_had_is_one_plain_line(self) -> None:
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        port = taken.getsockname()[1]
+        for environment in ({"ROUTER_ADMIN_ADDR": f"127.0.0.1:{port}"}, {"ROUTER_PASSED_SOCKET": "0"},
+                            {"ROUTER_PASSED_SOCKET": "five"}, {"ROUTER_ADMIN_ADDR": "here"}):  # fmt: skip
+            with self.subTest(environment=environment):
+                program = await Program().start("serve", ROUTER_CONFIG=self.config, **environment)
+                async with asyncio.timeout(PATIENCE_S):
+                    self.assertEqual(await program.process.wait(), 2)
+                await program.reader
+                plain = [line for line in program.lines if line.startswith("lemonridge: ")]
+                self.assertEqual(len(plain), 1, program.lines)
+                self.assertNotIn("Traceback", "".join(program.lines))
