Hand a broker over to its successor: limits, bans, the drain, and acceptance in one step

The successor loads, waits for discovery's own list (1 s at most), asks the one before over a Unix socket in $TMPDIR (mode 0600, one JSON line of a checked, versioned message each way) and says yes once it has taken over. The one before ends its acceptance, lets its limits fill no more and gives the estate in one step; kept connections end with an answer each. While both live, a call to either is passed on and acknowledged when in force in both. If the successor dies, the one before takes back. Rejected: files in $TMPDIR, since bans called meanwhile would have to be polled for, and no step is one step; a shared memory of limits, since two schedulers would draw on it without the module's knowledge; passing held requests on, since one request would have two lives. The name changes hands by rename, so that a second replacement straight after the first meets a living process. Half of what is saved and not asked for goes; the rest is for what is held, and fills no more. Also: a connection that makes room for another is asked of the system first whether a request waits on it.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import os
 import signal
 from random import Random
 from typing import TYPE_CHECKING
@@ -11,12 +13,15 @@
 from lemonridge import api, config
 from lemonridge.config import ConfigError, Platform
 from lemonridge.core.broker import Broker
+from lemonridge.core.directory import Listing
 from lemonridge.counters import Counters
 from lemonridge.net.discovery import Discovery, MalformedError, listings
 from lemonridge.net.http_front import HttpFront
 from lemonridge.net.http_nodes import HttpNodes
 from lemonridge.net.operators import Operators
+from lemonridge.net.succession import Succession
 from lemonridge.operate.calls import Call, Order, Reply
+from lemonridge.operate.handover import NEWS_US, Estate, Row
 from lemonridge.operate.life import Life, Phase
 from lemonridge.service import Service
 
@@ -69,25 +74,43 @@
 
     made.configure = configure
     front.bind(platform.listen, platform.passed)
+    desk = Desk(made, front, life)
     if platform.admin is not None:
-        operators = Operators(Desk(made, front, life).act, made.counters)
+        operators = Operators(desk.act, made.counters)
         await operators.start(platform.admin)
-        made.ended = operators.stop
+        made.endings.append(operators.stop)
+    folder = os.environ.get("TMPDIR")
+    if platform.passed is not None and folder:
+        await desk.succeed(Succession(folder, platform.name, desk, made.clock, made.counters))
+        made.endings.append(desk.leave)
     await front.listen()
     return made
 
 
 class Desk:
-    """Does what operators ask. A yes means that it is in force."""
+    """Does what operators and the other process of this broker ask. A yes means that it is in force."""
 
     def __init__(self, service: Service, front: HttpFront, life: Life) -> None:
-        self._directory, self._clock = service.directory, service.clock
+        self._directory, self._decider, self._clock = service.directory, service.decider, service.clock
         self._front, self._life = front, life
+        self._succession: Succession | None = None
+        self._taking = False
+
+    # Operators
 
     async def act(self, order: Order) -> Reply:
         """One call; `Reply` says whether it is done, and why not."""
         if order.call is Call.READY:
             return self._ready()
+        if self._taking:
+            return Reply(False, "not in charge yet")
+        reply = self.obey(order)
+        if reply.done and self._succession is not None and not await self._succession.share(order):
+            return Reply(False, "the other process of this broker does not answer")
+        return reply
+
+    def obey(self, order: Order) -> Reply:
+        """A call in this process alone."""
         if order.call is Call.DISABLE:
             done = self._directory.disable(order.node)
             return Reply(done, "out" if done else "unknown node, or too many are out")
@@ -100,11 +123,66 @@
 
     def _ready(self) -> Reply:
         """Whether this process can serve; a drain asks it not to be used, it could be."""
-        if self._life.phase is Phase.STOPPING:
-            return Reply(False, "stopping")
+        phase = self._life.phase
+        if phase is Phase.STOPPING:
+            return Reply(False, phase.value)
         if not self._directory.listed:
             return Reply(False, "no list of nodes yet")
-        return Reply(self._front.listens, self._life.phase.value)
+        return Reply(self._front.listens or phase is Phase.HANDED, phase.value)
+
+    # The process before and the process after
+
+    async def succeed(self, succession: Succession) -> None:
+        """Take over from the process that serves, if there is one, and be the one to ask from then on.
+
+        Discovery's own list comes first, so that the first request is sent by news and not by what was known;
+        where it is silent, the list of the process before is newer than that."""
+        self._taking = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(self._clock.loop_time(self._clock.now_us() + NEWS_US)):
+                await self._directory.fresh.wait()
+        estate = await succession.take_over()
+        if estate is not None:
+            if not self._directory.fresh.is_set():
+                rows = [Listing(row.entry, row.address) for row in estate.rows]
+                self._directory.take(api.ListKind.STALE, rows)
+            self._directory.inherit(estate.out, estate.back)
+            if estate.drained_us is not None:
+                self._life.drain(estate.drained_us)
+            self._decider.take(estate.levels)
+            log.info("taken over", extra={"out": len(estate.out), "limits": len(estate.levels),
+                                          "drained": estate.drained_us is not None})  # fmt: skip
+        await succession.listen()
+        self._succession, self._taking = succession, False
+
+    def give(self) -> Estate:
+        """Take nothing new any more: all in one step, or two processes would draw on the same limit."""
+        self._front.deafen()
+        self._life.hand(self._clock.now_us())
+        self._front.changed()
+        out, back = self._directory.bans()
+        rows = tuple(Row(one.entry, one.address) for one in self._directory.told())
+        log.info("handed over", extra={"held": self._decider.held})
+        return Estate(out, back, self._life.drained_us, self._decider.give(), rows)
+
+    def take_back(self) -> None:
+        """The successor is gone. This process goes on, unless it was told to end."""
+        if not self._life.take_back():
+            return
+        log.warning("taken back")
+        self._decider.take({})
+        self._front.changed()
+        self._back = asyncio.create_task(self._listen_again())
+
+    async def _listen_again(self) -> None:
+        await self._front.listen()
+        if self._succession is not None:
+            await self._succession.listen()
+
+    def leave(self) -> None:
+        """The process ends."""
+        if self._succession is not None:
+            self._succession.stop()
 
 
 async def serve(platform: Platform | None, iscsi: Iscsi | None) -> None:
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -6,7 +6,7 @@
 import dataclasses
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from lemonridge import api
 from lemonridge.core.clock import Clock
@@ -98,6 +98,14 @@
         self._settings = settings
         self.tell(api.Configured(settings))
 
+    def give(self) -> dict[int, float]:
+        """Hand the limits over to another process of this broker; by volume, the units that go with them."""
+        return self._scheduler.give()
+
+    def take(self, levels: Mapping[int, float]) -> None:
+        """Be the process whose limits fill, from these units on."""
+        self._scheduler.take(self.clock.now_us(), levels)
+
     def close(self, mailbox: Mailbox) -> None:
         """The life of a request is over."""
         self._mailboxes.pop(mailbox.name, None)
--- a/lemonridge/core/directory.py
+++ b/lemonridge/core/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -39,6 +40,7 @@
         self._nodes: dict[str, Listing] = {}  # with the bans laid over it
         self._maintenance = Maintenance()
         self.listed = False
+        self.fresh = asyncio.Event()  # once discovery itself has told
 
     def take(self, kind: api.ListKind, listings: list[Listing]) -> None:
         """Apply a change, or a whole list: a node that it does not name is gone."""
@@ -54,6 +56,8 @@
                 "node": entry.node, "condition": entry.condition.value, "shard": entry.shard,
                 "started_us": entry.started_us, "address": listing.address})  # fmt: skip
         self._maintenance.prune(self._told)
+        if kind is not api.ListKind.STALE:
+            self.fresh.set()
         self.listed = self.listed or bool(listings) or kind is api.ListKind.WHOLE  # also an empty one is news
         self._tell(kind, listings)
 
@@ -89,6 +93,10 @@
             return True
         return node in self._told
 
+    def told(self) -> tuple[Listing, ...]:
+        """The list as discovery has told it, without the bans."""
+        return tuple(self._told.values())
+
     def bans(self) -> tuple[Mapping[str, int], Mapping[str, Back]]:
         """What operators have taken out and called back, for a process that takes over."""
         return self._maintenance.out(), self._maintenance.back()
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import select
 from enum import IntEnum
 from http import HTTPStatus
 
@@ -26,6 +28,7 @@
 LINGER_S = 0.5  # for an early answer to reach a client that still sends
 UNTAKEN_S = 5.0  # how long a client may leave its answer unread
 SWEEP_S = 0.25
+LOOKED_AT = 8  # of a state, for one that can be spared: a crowd must not cost a look at all of it
 AHEAD = 16 * 1024  # bytes behind an open request, before they are left in the socket
 
 
@@ -83,11 +86,14 @@
             return
         now = self._loop.time()
         for state, age in SPARED_S.items():
-            longest, since = next(iter(self._states[state].items()), (connection, now))
-            if since < now - age:
-                self.counters["clients.evicted"] += 1
-                longest.abort()
-                return
+            for longest, since in itertools.islice(self._states[state].items(), LOOKED_AT):
+                if since >= now - age:
+                    break
+                if longest.quiet():
+                    self.counters["clients.evicted"] += 1
+                    self.counters[f"clients.evicted.{state.name.lower()}"] += 1
+                    longest.abort()
+                    return
         if len(self) > self._sockets * SHARE:
             self.counters["clients.evicted"] += 1
             connection.abort()
@@ -209,6 +215,15 @@
         self._transport.write_eof()
         self._room.move(self, State.LEAVING)
 
+    def quiet(self) -> bool:
+        """Whether nothing waits to be read. It is asked of the system: a loop that is busy has not read yet
+        what came first, and to end the connection then would lose a request unread."""
+        if self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def close(self) -> None:
         self._leave()
         self._transport.close()
--- /dev/null
+++ b/lemonridge/net/succession.py
@@ -0,0 +1,241 @@
+"""Two processes, one broker: the Unix socket over which a process hands over to its successor."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Protocol
+
+from lemonridge.core.clock import Clock
+from lemonridge.counters import Counters
+from lemonridge.operate.calls import Order, Reply
+from lemonridge.operate.handover import (
+    CALL_US,
+    GIVE_US,
+    LINE_MAX,
+    BadMessageError,
+    Called,
+    Done,
+    Estate,
+    Given,
+    Message,
+    No,
+    Take,
+    decode,
+    encode,
+)
+
+log = logging.getLogger(__name__)
+
+AGAIN_S = 0.05  # before a process that has itself just handed over, or not yet taken over, is asked again
+CALLS_MAX = 64  # calls that wait for the other process
+BACKLOG = 4
+
+
+class House(Protocol):
+    """The broker of this process, as a handover needs it."""
+
+    def give(self) -> Estate:
+        """Take nothing new any more, and say what the successor goes on from."""
+        ...
+
+    def take_back(self) -> None:
+        """The successor is gone: go on as before."""
+        ...
+
+    def obey(self, order: Order) -> Reply:
+        """Do what an operator asked of the other process."""
+        ...
+
+
+class Bond:
+    """The connection of the two, while both live."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, house: House,
+                 clock: Clock) -> None:
+        self._reader, self._writer, self._house, self._clock = reader, writer, house, clock
+        self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._count = 0
+
+    async def read(self) -> Message:
+        """The next message; `EOFError` at the end."""
+        line = await self._reader.readline()
+        if not line.endswith(b"\n"):
+            raise EOFError
+        return decode(line)
+
+    def write(self, message: Message) -> None:
+        self._writer.write(encode(message))
+
+    async def serve(self) -> None:
+        """Do what the other passes on, until one of the two ends."""
+        try:
+            while True:
+                message = await self.read()
+                if isinstance(message, Called):
+                    self._house.obey(message.order)
+                    self.write(Done(message.number))
+                elif isinstance(message, Done):
+                    waiter = self._waiting.pop(message.number, None)
+                    if waiter is not None and not waiter.done():
+                        waiter.set_result(None)
+        except (EOFError, OSError, BadMessageError, ValueError) as error:
+            log.info("other process gone", extra={"error": f"{type(error).__name__}: {error}"})
+        finally:
+            self.close()
+
+    async def share(self, order: Order) -> bool:
+        """Pass a call on; whether it is in force there too, also by there being nobody any more."""
+        if len(self._waiting) >= CALLS_MAX:
+            return False
+        self._count += 1
+        waiter = self._waiting[self._count] = asyncio.get_running_loop().create_future()
+        self.write(Called(self._count, order))
+        try:
+            async with asyncio.timeout_at(self._clock.loop_time(self._clock.now_us() + CALL_US)):
+                await waiter
+        except TimeoutError:
+            return False
+        return True
+
+    def close(self) -> None:
+        for waiter in self._waiting.values():
+            if not waiter.done():
+                waiter.set_result(None)
+        self._waiting.clear()
+        self._writer.close()
+
+
+class Succession:
+    """This process between the one before it and the one after it."""
+
+    def __init__(self, folder: str, name: str, house: House, clock: Clock, counters: Counters) -> None:
+        self._path = Path(folder) / f"{name.replace('/', '_')}.handover"
+        self._house, self._clock, self._counters = house, clock, counters
+        self._bonds: set[Bond] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._given = False
+
+    async def take_over(self) -> Estate | None:
+        """The estate of the process that serves now, which takes nothing new from here on; None where there
+        is none, or it does not answer as it should in time: then this one goes on alone."""
+        if not self._path.exists():
+            return None
+        try:
+            async with asyncio.timeout_at(self._clock.loop_time(self._clock.now_us() + GIVE_US)):
+                while True:
+                    bond = await self._connect()
+                    bond.write(Take())
+                    message = await bond.read()
+                    if isinstance(message, Given):
+                        self._keep(bond)
+                        return message.estate
+                    bond.close()
+                    if not isinstance(message, No):
+                        raise BadMessageError("not what was asked for")
+                    await asyncio.sleep(AGAIN_S)  # the one that took over from it will be there
+        except (OSError, EOFError, ValueError, BadMessageError, TimeoutError) as error:
+            log.warning("nothing taken over", extra={"error": f"{type(error).__name__}: {error}"})
+            self._counters["handover.failed"] += 1
+            return None
+
+    async def listen(self) -> None:
+        """Be the one whom the next process asks. The name changes hands in one step, so that whoever asks
+        meets a living process."""
+        self._given = False
+        if self._server is not None:
+            self._server.close()
+        made = socket.socket(socket.AF_UNIX)
+        fresh = self._path.with_suffix(f".{os.getpid()}")
+        try:
+            fresh.unlink(missing_ok=True)
+            with _short(fresh) as name:
+                mask = os.umask(0o177)
+                try:
+                    made.bind(name)
+                finally:
+                    os.umask(mask)
+            self._server = await asyncio.start_unix_server(self._asked, sock=made, limit=LINE_MAX,
+                                                           backlog=BACKLOG)
+            fresh.rename(self._path)
+        except OSError as error:
+            made.close()
+            log.error("no handover from here", extra={"error": str(error)})
+
+    async def share(self, order: Order) -> bool:
+        """Pass an operator's call on to the other process; whether it is in force wherever one lives."""
+        return all(await asyncio.gather(*(bond.share(order) for bond in self._bonds)))
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for bond in list(self._bonds):
+            bond.close()
+
+    async def _connect(self) -> Bond:
+        made = socket.socket(socket.AF_UNIX)
+        made.setblocking(False)
+        try:
+            with _short(self._path) as name:
+                await asyncio.get_running_loop().sock_connect(made, name)
+            reader, writer = await asyncio.open_unix_connection(sock=made, limit=LINE_MAX)
+        except BaseException:
+            made.close()
+            raise
+        return Bond(reader, writer, self._house, self._clock)
+
+    def _keep(self, bond: Bond) -> None:
+        """Serve the other process while it lives."""
+        self._bonds.add(bond)
+        task = asyncio.create_task(bond.serve())
+        self._tasks.add(task)
+
+        def over(task: asyncio.Task[None]) -> None:
+            self._tasks.discard(task)
+            self._bonds.discard(bond)
+
+        task.add_done_callback(over)
+
+    async def _asked(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A process has connected that would be the successor."""
+        bond = Bond(reader, writer, self._house, self._clock)
+        try:
+            async with asyncio.timeout_at(self._clock.loop_time(self._clock.now_us() + GIVE_US)):
+                message = await bond.read()
+            if not isinstance(message, Take) or self._given:
+                bond.write(No("handed over already" if self._given else "nothing was asked for"))
+                bond.close()
+                return
+        except (EOFError, OSError, ValueError, BadMessageError, TimeoutError) as error:
+            log.warning("handover not asked for as it should", extra={"error": str(error)})
+            with contextlib.suppress(OSError):
+                bond.write(No(str(error)))
+            bond.close()
+            return
+        self._given = True
+        self._counters["handover.given"] += 1
+        bond.write(Given(self._house.give()))
+        self._bonds.add(bond)
+        await bond.serve()
+        self._bonds.discard(bond)
+        self._given = False
+        self._house.take_back()
+
+
+@contextlib.contextmanager
+def _short(path: Path) -> Iterator[str]:
+    """A name of a path that fits into a Unix address (108 bytes), by its folder's descriptor if need be."""
+    if len(os.fsencode(path)) < 100:
+        yield str(path)
+        return
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}"
+    finally:
+        os.close(folder)
--- /dev/null
+++ b/lemonridge/operate/handover.py
@@ -0,0 +1,167 @@
+"""What a process and its successor tell each other, and when each may act. Pure.
+
+They are one broker while both live. Every message is one line of JSON under `LINE_MAX` bytes with the
+version in `v`; one that cannot be read whole is worth nothing. The successor says `take`; the one before
+answers `given` with the estate, in one step with ending its own acceptance, or `no`. From then on each passes
+on what operators call (`called`), and the other says when it is in force (`done`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from lemonridge import api
+from lemonridge.operate.calls import Call, Order
+from lemonridge.operate.maintenance import OUT_MAX, Back
+
+VERSION = 1
+LINE_MAX = 4 << 20
+ROWS_MAX = 65536  # nodes or volumes
+GIVE_US = 1_000_000  # the successor waits so long for the estate, then goes on alone
+NEWS_US = 1_000_000  # and so long for its own first list before it takes over
+CALL_US = 400_000  # a call waits so long for the other process; its caller waits for 1 s
+TOP = 1 << 62
+
+
+class BadMessageError(Exception):
+    """A message that cannot be read, or of another version; the text is fit for the log."""
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A node as discovery told it, with its address."""
+
+    entry: api.Entry
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Estate:
+    """What the successor goes on from: the bans, the drain in force, what the limits have saved, the list."""
+
+    out: Mapping[str, int] = field(default_factory=dict)
+    back: Mapping[str, Back] = field(default_factory=dict)
+    drained_us: int | None = None
+    levels: Mapping[int, float] = field(default_factory=dict)  # units by volume
+    rows: tuple[Row, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """The successor takes over."""
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """The estate; the sender takes nothing new any more."""
+
+    estate: Estate
+
+
+@dataclass(frozen=True, slots=True)
+class No:
+    """Nothing is given."""
+
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Called:
+    """An operator's call that the other process has taken."""
+
+    number: int
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """That call is in force here too."""
+
+    number: int
+
+
+Message = Take | Given | No | Called | Done
+
+
+def encode(message: Message) -> bytes:
+    """One line, its end included."""
+    told: dict[str, Any] = {"v": VERSION, "say": type(message).__name__.lower()}
+    if isinstance(message, Given):
+        estate = message.estate
+        told["out"] = dict(estate.out)
+        told["back"] = {node: [one.out_us, one.back_us] for node, one in estate.back.items()}
+        told["drained_us"] = estate.drained_us
+        told["levels"] = [[volume, level] for volume, level in estate.levels.items()]
+        told["rows"] = [[row.entry.node, row.entry.shard, row.entry.zone, row.entry.condition.value,
+                         row.entry.started_us, row.address] for row in estate.rows]  # fmt: skip
+    elif isinstance(message, No):
+        told["why"] = message.why
+    elif isinstance(message, Called):
+        told |= {"number": message.number, "call": message.order.call.value, "node": message.order.node}
+    elif isinstance(message, Done):
+        told["number"] = message.number
+    return orjson.dumps(told) + b"\n"
+
+
+def decode(line: bytes) -> Message:
+    """The message of a line, checked whole; `BadMessageError` otherwise."""
+    if len(line) > LINE_MAX:
+        raise BadMessageError("it is too long")
+    try:
+        told = orjson.loads(line)
+        if not isinstance(told, dict) or told.get("v") != VERSION:
+            raise BadMessageError("it is of another version")
+        return _message(told)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadMessageError(f"{type(error).__name__}: {error}") from None
+
+
+def _message(told: dict[str, Any]) -> Message:
+    say = told["say"]
+    if say == "take":
+        return Take()
+    if say == "no":
+        return No(str(told["why"])[:200])
+    if say == "done":
+        return Done(_whole(told["number"]))
+    if say == "called":
+        return Called(_whole(told["number"]), Order(Call(told["call"]), _text(told["node"])))
+    if say != "given":
+        raise BadMessageError("it says nothing that is known")
+    if len(told["out"]) > OUT_MAX or len(told["back"]) > OUT_MAX:
+        raise BadMessageError("it names too many nodes")
+    if len(told["levels"]) > ROWS_MAX or len(told["rows"]) > ROWS_MAX:
+        raise BadMessageError("it holds too many rows")
+    drained = told["drained_us"]
+    return Given(Estate(
+        out={_text(node): _whole(since) for node, since in told["out"].items()},
+        back={_text(node): Back(_whole(out), _whole(back)) for node, (out, back) in told["back"].items()},
+        drained_us=None if drained is None else _whole(drained),
+        levels={_whole(volume, 1 << 64): _units(level) for volume, level in told["levels"]},
+        rows=tuple(
+            Row(api.Entry(_text(node), int(shard), int(zone), api.Condition(condition), _whole(started)),
+                _text(address))
+            for node, shard, zone, condition, started, address in told["rows"]),
+    ))  # fmt: skip
+
+
+def _whole(value: Any, top: int = TOP) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < top:
+        raise ValueError("a number is out of its bounds")
+    return value
+
+
+def _units(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 1e9:
+        raise ValueError("units are out of their bounds")
+    return float(value)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or len(value) > 1000:
+        raise ValueError("a word is too long, or none")
+    return value
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -10,7 +10,7 @@
 import random
 from bisect import insort
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from heapq import heappop, heappush
 from math import exp
 from operator import attrgetter
@@ -46,6 +46,7 @@
 RETRY_US = 20_000  # first pause before a further attempt, doubled for each later one
 ASK_US = 250_000  # first pause after a failed call for the list, doubled up to the limit below
 ASK_TOP_US = 8_000_000  # where the settings do not say how often to ask
+NEVER_US = 1 << 62  # a time that does not come
 EPSILON = 1e-6  # keeps sums of fractions below a limit that must not be passed
 
 _tag, _due, _worth = attrgetter("tag"), attrgetter("due"), attrgetter("cls.worth")
@@ -100,8 +101,8 @@
     def fill(self, now: int) -> float:
         """The bucket's level: this host's even slice of the limit, so the sum holds unaided."""
         top = (self.plan.burst + self.plan.slack) / self.hosts
-        self.level = min(top, self.level + self.plan.limit / self.hosts * (now - self.filled_us) / 1e6)
-        self.filled_us = now
+        since_us, self.filled_us = self.filled_us, max(now, self.filled_us)
+        self.level = min(top, self.level + self.plan.limit / self.hosts * max(0, now - since_us) / 1e6)
         return self.level
 
     def inside(self, units: float, now: int) -> float:
@@ -114,8 +115,8 @@
 
     def wait_us(self, units: float, now: int) -> int:
         """How long until the bucket holds `units`."""
-        lack = units + EPSILON - self.fill(now)
-        return 0 if lack <= 0 else int(lack * self.hosts / self.plan.limit * 1e6) + 1
+        lack = (units + EPSILON - self.fill(now)) * self.hosts / self.plan.limit
+        return 0 if lack <= 0 else self.filled_us - now + int(lack * 1e6) + 1
 
 
 class Usual:
@@ -174,6 +175,7 @@
         self.flights: dict[tuple[str, int], tuple[Request, Node, int]] = {}
         self.lost: set[tuple[str, int]] = set()  # attempts written off, still without an outcome
         self.volumes: dict[int, Volume] = {}
+        self.levels: dict[int, float] = {}  # of limits, taken over for volumes that have not asked yet
         self.nodes: dict[str, Node] = {}
         self.shards: dict[int, list[Node]] = {}
         self.order: list[Node] = []  # those that were listed, for a choice at random
@@ -215,20 +217,15 @@
                 self._arrived(event)
             elif isinstance(event, Listed):
                 self._listed(event)
-            elif isinstance(event, Gone):
-                gone = self.requests.get(event.request)
-                if gone:
-                    self._finish(gone)
-            elif isinstance(event, Started):
-                started = self.requests.get(event.request)
-                if started:
-                    started.started = True
+            elif isinstance(event, Gone) and event.request in self.requests:
+                self._finish(self.requests[event.request])
+            elif isinstance(event, Started) and event.request in self.requests:
+                self.requests[event.request].started = True
             elif isinstance(event, Moved):
                 self._moved(event)
             elif isinstance(event, Configured):
                 self._configured(event.settings)
-        if self.wake_us is not None and self.wake_us <= now_us:
-            self.wake_us = None
+        self.wake_us = None if self.wake_us is not None and self.wake_us <= now_us else self.wake_us
         if self.rings and now_us >= self.cycle_us:  # not at every timer: there is one for each attempt
             self.cycle_us = now_us + CYCLE_US
             self.touched.update(dict.fromkeys(self.rings))
@@ -240,6 +237,20 @@
         self._ask_wake()
         return self.actions
 
+    def give(self) -> dict[int, float]:
+        """Hand the limits over: half of what is saved goes, the rest is for what is held; nothing refills."""
+        self.born, given = NEVER_US, {}
+        for name, v in self.volumes.items():
+            given[name] = max(0.0, v.fill(self.now) - v.undrawn) / 2
+            v.level, v.filled_us = v.level - given[name], NEVER_US
+        return given
+
+    def take(self, now_us: int, levels: Mapping[int, float]) -> None:
+        """Be the one whose limits fill, from now on and from these levels."""
+        self.born, self.levels = now_us, dict(levels)
+        for name, volume in self.volumes.items():
+            volume.level, volume.filled_us = volume.level + self.levels.pop(name, 0.0), now_us
+
     def _configured(self, settings: Settings) -> None:
         """Go by new settings. What is held keeps the class it came with; a volume takes its new plan with
         its next request, which alone tells it."""
@@ -256,7 +267,7 @@
         volume = self.volumes.get(event.volume)
         if volume is None:
             volume = Volume(s.plans[event.plan], event.hosts, self.born or 0, self.now, s)
-            self.volumes[event.volume] = volume
+            self.volumes[event.volume], volume.level = volume, self.levels.pop(event.volume, 0.0)
         elif volume.settings is not s:  # what it has saved up stays, under the new top
             volume.fill(self.now)
             volume.plan, volume.settings = s.plans[event.plan], s
@@ -286,9 +297,7 @@
     def _enqueue(self, r: Request) -> None:
         """Put a request into its volume's lane."""
         volume, shard = r.volume, r.shard
-        lane = volume.lanes.get(shard)
-        if lane is None:
-            lane = volume.lanes[shard] = Lane(volume, shard)
+        lane = volume.lanes.get(shard) or volume.lanes.setdefault(shard, Lane(volume, shard))
         if not lane.line:
             lane.tag = max(lane.tag, self.clocks.get(shard, 0.0))
         if volume.waiting == 0:
@@ -309,15 +318,14 @@
         self.touched[lane.shard] = None
 
     def _ended(self, event: Ended) -> None:
-        flight = self.flights.pop((event.request, event.attempt), None)
+        key = (event.request, event.attempt)
+        flight = self.flights.pop(key, None)
         if flight is None:
             return
         r, node, sent_us = flight
         r.open = None
-        if (event.request, event.attempt) in self.lost:
-            self.lost.remove((event.request, event.attempt))
-        else:
-            node.open -= 1
+        node.open -= key not in self.lost
+        self.lost.discard(key)
         self._observe(node, event, r, sent_us)
         if event.result is Result.MOOT and r.sent == 1 and r.drawn:
             r.drawn, r.volume.level = False, r.volume.level + r.units  # a moot send draws nothing
@@ -440,10 +448,8 @@
         """The final answer: a refusal where a repeat is harmless, else a failure."""
         ran, kind = r.ran_node is not None or r.open is not None, r.cls.semantics
         keyed_all = kind is Semantics.KEYED and r.cls.group is Group.ALL
-        if not ran or kind is Semantics.SAFE or keyed_all:
-            self.actions.append(Refuse(r.id, self._advice(r), why))
-        else:
-            self.actions.append(Fail(r.id, why))
+        harmless = not ran or kind is Semantics.SAFE or keyed_all
+        self.actions.append(Refuse(r.id, self._advice(r), why) if harmless else Fail(r.id, why))
         self._finish(r)
 
     def _advice(self, r: Request) -> int:
@@ -556,8 +562,8 @@
         volume.credited_us = self.now
 
     def _debit(self, volume: Volume, units: float) -> None:
-        floor = -CREDIT_S * volume.plan.reserve - self.settings.units_top
-        volume.balance = max(floor, volume.balance - units)
+        top = CREDIT_S * volume.plan.reserve + self.settings.units_top
+        volume.balance = max(-top, volume.balance - units)
 
     def _send_head(self, lane: Lane, node: Node) -> float:
         """Send one of the lane's requests to `node`, unless a guard holds it back; the units sent."""
@@ -609,8 +615,7 @@
         r.sent += 1
         r.open = node
         node.open += 1
-        if node.quiet_us is None:
-            node.quiet_us = self.now
+        node.quiet_us = self.now if node.quiet_us is None else node.quiet_us
         self.actions.append(Send(r.id, node.id))
 
     # Nodes
@@ -643,9 +648,8 @@
 
     def _suspect(self, node: Node) -> bool:
         """Silence against its own usual answer time, or connects that fail."""
-        if node.unreached:
-            return True
-        return node.quiet_us is not None and self.now - node.quiet_us > self._patience(node)
+        silent = node.quiet_us is not None and self.now - node.quiet_us > self._patience(node)
+        return silent or node.unreached > 0
 
     def _patience(self, node: Node) -> int:
         """How long a node may be silent before it is odd."""
@@ -799,14 +803,12 @@
                 self.actions.append(Subscribe())
             elif kind == "overdue" and isinstance(what, tuple):
                 self._write_off(what)
-            elif kind == "rest" and isinstance(what, int):
-                if self.rests.get(what, 0) <= self.now:
-                    self.rests.pop(what, None)
-                    if what in self.keys:
-                        self._free_key(self.keys[what][0])
-            elif isinstance(what, Lane):
-                if what.parked:
-                    self._ring(what)
+            elif kind == "rest" and isinstance(what, int) and self.rests.get(what, 0) <= self.now:
+                self.rests.pop(what, None)
+                if what in self.keys:
+                    self._free_key(self.keys[what][0])
+            elif isinstance(what, Lane) and what.parked:
+                self._ring(what)
             elif isinstance(what, Request) and not what.done:
                 if kind == "deadline" and not what.started:
                     self._give_up(what, Why.OVER)
--- a/lemonridge/service.py
+++ b/lemonridge/service.py
@@ -39,7 +39,7 @@
         self.front: Front
         self.close: Callable[[], Awaitable[None]]
         self.configure: Callable[[Platform], None] | None = None
-        self.ended: Callable[[], None] | None = None  # called last
+        self.endings: list[Callable[[], None]] = []  # called last
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     def watch(self, work: Coroutine[None, None, None], what: str = "nodes") -> None:
@@ -61,6 +61,6 @@
         for watch in self._watches.values():
             watch.cancel()
         await self.close()
-        if self.ended is not None:
-            self.ended()
+        for ending in self.endings:
+            ending()
         self.print_counters("exit")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -167,12 +167,14 @@
 class Program:
     """The real program."""
 
-    async def start(self, *arguments: str, **environment: str) -> Program:
+    async def start(self, *arguments: str, passed: int | None = None, **environment: str) -> Program:
+        """`passed` is a descriptor that the program inherits under its own number."""
         self.lines: list[str] = []
         self.read = 0  # how many lines `line` has been through
         self.news = asyncio.Condition()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lemonridge", *arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            pass_fds=() if passed is None else (passed,),
             env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", **environment})
         self.reader = asyncio.create_task(self._read())
         return self
@@ -263,6 +265,10 @@
         await self.launch()
         self.client = await self.connect()
 
+    def passed_fd(self) -> int | None:
+        """The descriptor that the program is handed, where the case has one."""
+        return int(fd) if (fd := self.environment.get("ROUTER_PASSED_SOCKET")) else None
+
     async def launch(self, known: dict[str, Any] | None = None) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -275,7 +281,8 @@
             "seed": "8c1f30d27a5be964", "known": known or {}, "settings": facts,
             "limits": {"sockets": self.sockets}}))
         self.config = str(config)
-        self.program = await Program().start("serve", ROUTER_CONFIG=self.config, **self.environment)
+        self.program = await Program().start("serve", passed=self.passed_fd(), ROUTER_CONFIG=self.config,
+                                             **self.environment)  # fmt: skip
         self.addAsyncCleanup(self.program.end, signal.SIGKILL)
         self.port = int((await self.program.line("event=listening")).rsplit(":", 1)[1])
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,223 @@
+"""Two processes, one broker: a successor takes over under load, and what may go wrong meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from conftest import LIMITED, SETTINGS, START, Rig
+from harness import PATIENCE_S, Client, Message, PlatformCase, Program, Server, free_port, reply, serve_ok
+from hypothesis import given
+from hypothesis import strategies as st
+from test_operate import call
+
+from lemonridge import api
+from lemonridge.operate import handover
+from lemonridge.operate.calls import Call, Order
+from lemonridge.operate.handover import (
+    BadMessageError,
+    Called,
+    Done,
+    Estate,
+    Given,
+    No,
+    Row,
+    Take,
+    decode,
+    encode,
+)
+from lemonridge.operate.maintenance import Back
+
+ESTATE = Estate(
+    out={"s-1": 5}, back={"s-2": Back(1, 4)}, drained_us=7, levels={2**64 - 1: 2.5},
+    rows=(Row(api.Entry("s-1", 3, 1, api.Condition.LEAVING, 9), "127.0.0.1:1"),))  # fmt: skip
+MESSAGES = (Take(), No("so"), Given(ESTATE), Given(Estate()), Done(3),
+            Called(4, Order(Call.DISABLE, "s-1")), Called(5, Order(Call.DRAIN)))  # fmt: skip
+
+
+class Messages(unittest.TestCase):
+    def test_each_message_comes_back_as_it_was(self) -> None:
+        for message in MESSAGES:
+            self.assertEqual(decode(encode(message)), message)
+
+    def test_half_a_message_or_another_versions_is_worth_nothing(self) -> None:
+        line = encode(Given(ESTATE))
+        for end in range(len(line) - 1):
+            with self.assertRaises(BadMessageError):
+                decode(line[:end])
+        for change in ({"v": 2}, {"v": None}, {"say": "give"}, {"out": [1]}, {"out": {"s": -1}},
+                       {"levels": [[1, -1]]}, {"levels": [[1, True]]}, {"rows": [["s"]]},
+                       {"rows": [["s", 1, 1, "odd", 0, ""]]}, {"back": {"s": [1]}}, {"drained_us": "x"},
+                       {"levels": [[1, 1]] * (handover.ROWS_MAX + 1)}):  # fmt: skip
+            with self.subTest(change=list(change)), self.assertRaises(BadMessageError):
+                decode(json.dumps({**json.loads(line), **change}).encode())
+
+    @given(st.binary(max_size=200) | st.recursive(
+        st.none() | st.integers() | st.text(max_size=5),
+        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
+            st.sampled_from(["v", "say", "out", "rows", "levels"]), inner, max_size=5),
+    ).map(lambda told: json.dumps(told).encode()))  # fmt: skip
+    def test_whatever_comes_is_a_message_or_an_error(self, line: bytes) -> None:
+        with contextlib.suppress(BadMessageError):
+            decode(line)
+
+
+class Limits(unittest.TestCase):
+    def test_two_processes_draw_no_more_than_one_may(self) -> None:
+        """Guards the limit over a handover: what the one before saved up and what fills from then on must not
+        be there twice."""
+        def asked(rig: Rig, prefix: str, count: int) -> int:
+            events = [api.Arrived(f"{prefix}{number}", 0, 9, rig.now + 1_400_000, None, 0, 1, 2.0, 1)
+                      for number in range(count)]  # fmt: skip
+            actions, sent = rig.do(*events), 0
+            while sends := [one for one in actions if isinstance(one, api.Send)]:
+                sent += len(sends)
+                actions = rig.do(*(api.Ended(one.request, 0, one.node, api.Result.OK, 1000, True, None, None,
+                                             None) for one in sends))  # fmt: skip
+            return sent
+
+        node = api.Entry("s-1", 0, 0, api.Condition.ACTIVE, 0)
+        before, after = Rig(SETTINGS), Rig(SETTINGS)
+        for rig in (before, after):
+            rig.do(api.Listed(api.ListKind.WHOLE, (node,)))
+        self.assertEqual(LIMITED.limit, 20.0)
+        before.now = after.now = START + 30_000_000  # its bucket is full, of 44 units
+        asked(before, "a", 1)
+        after.policy.take(after.now, before.policy.give())
+        sent = 0
+        for step in range(40):  # two seconds: 40 more units fill
+            before.now = after.now = START + 30_000_000 + step * 50_000
+            sent += asked(before, f"b{step}-", 4) + asked(after, f"c{step}-", 4)
+        self.assertLessEqual(sent * 2.0, 42 + 40)
+        self.assertGreater(sent * 2.0, 60)
+        before.policy.take(before.now, {})  # the successor is gone
+        before.now += 3_000_000
+        self.assertGreater(asked(before, "d", 4), 0)
+
+
+class Replaced(PlatformCase):
+    """A program at a passed socket, which others can follow."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.passed = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.passed.close)
+        self.passed.set_inheritable(True)
+        self.admin = free_port()
+        self.environment = self.around(self.admin)
+        await super().asyncSetUp()
+
+    def around(self, admin: int) -> dict[str, str]:
+        return {"ROUTER_PASSED_SOCKET": str(self.passed.fileno()), "TMPDIR": self.folder,
+                "ROUTER_ADMIN_ADDR": f"127.0.0.1:{admin}"}  # fmt: skip
+
+    async def follow(self, **environment: str) -> tuple[Program, int]:
+        """Start the successor; once it says yes, it and its operators' port."""
+        admin = free_port()
+        program = await Program().start("serve", passed=self.passed.fileno(), ROUTER_CONFIG=self.config,
+                                        **{**self.around(admin), **environment})  # fmt: skip
+        self.addAsyncCleanup(program.end, signal.SIGKILL)
+        await program.line("operators call at")
+        async with asyncio.timeout(PATIENCE_S):
+            while not (await call(admin, "ready")).startswith("ACK"):
+                await asyncio.sleep(0)
+        return program, admin
+
+    async def test_under_load_no_request_meets_a_closed_door(self) -> None:
+        over, statuses = asyncio.Event(), []
+
+        async def ask(client: Client) -> None:
+            while not over.is_set():
+                answer = await client.ask(X_Deadline_Ms="2000")
+                statuses.append(answer.status)
+                if answer.headers.get("connection") == "close":
+                    client = await self.connect(ready=False)
+
+        load = [asyncio.create_task(ask(await self.connect())) for _ in range(8)]
+        first = self.program
+        for _ in range(2):  # a second replacement comes straight after the first
+            program, self.admin = await self.follow()
+            self.assertEqual(await self.program.end(signal.SIGTERM), 0)
+            self.program = program
+        over.set()
+        async with asyncio.timeout(PATIENCE_S):
+            await asyncio.gather(*load)
+        self.assertEqual(set(statuses), {200})
+        self.assertTrue(any("handed over" in line for line in first.lines))
+        self.assertTrue(any("taken over" in line for line in program.lines))
+
+    async def test_a_ban_and_a_drain_hold_in_both_whichever_is_called(self) -> None:
+        hold = asyncio.Event()
+
+        async def failing(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await hold.wait()
+            reply(writer, status=500)
+
+        other = await Server(serve_ok).start()
+        self.register.set("s-2", other.port, shard=1)
+        self.assertEqual((await self.client.ask(shard=1)).status, 200)
+        self.assertIn("ACK", await call(self.admin, "disable-server s-2"))
+        self.node.script = failing
+        held = asyncio.create_task(self.client.ask())  # the one before holds it over the handover
+        await self.node.until(lambda: bool(self.node.seen))
+        program, admin = await self.follow()
+        self.assertEqual((await (await self.connect()).ask(shard=1, X_Deadline_Ms="300")).status, 503)
+        self.assertIn("ACK", await call(admin, "disable-server s-1"))
+        hold.set()
+        self.assertIn((await held).status, (502, 503))  # and sent to s-1 no more
+        self.assertEqual(len(self.node.seen), 1)
+        self.assertIn("ACK", await call(self.admin, "enable-server s-2"))
+        self.assertEqual((await (await self.connect()).ask(shard=1)).status, 200)
+        self.assertIn("ACK", await call(self.admin, "drain"))
+        ready = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        self.assertEqual((await (await self.connect(ready=False)).raw(ready)).status, 503)
+        self.assertIn("ACK", await call(admin, "resume"))
+        self.assertEqual((await (await self.connect(ready=False)).raw(ready)).status, 200)
+        self.assertEqual(await self.program.end(signal.SIGTERM), 0)
+        self.assertIn("ACK", await call(admin, "disable-server s-2"))  # alone again
+
+    async def test_if_the_successor_dies_the_one_before_goes_on(self) -> None:
+        program, _ = await self.follow()
+        await program.end(signal.SIGKILL)
+        await self.program.line("taken back")
+        self.assertEqual((await (await self.connect()).ask()).status, 200)
+        await self.follow()  # and it can be replaced again
+
+    async def test_a_predecessor_that_is_gone_silent_or_odd_stops_nobody(self) -> None:
+        await self.program.end(signal.SIGKILL)
+        self.program, _ = await self.follow()  # a stale file
+        path = Path(self.folder) / "n1.handover"
+        for answer in (b"", b'{"v":1,"say":"given","out":{', b'{"v":9,"say":"given"}\n', None):
+            with self.subTest(answer=answer):
+                await self.program.end(signal.SIGKILL)
+                path.unlink()
+
+                async def odd(reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                              answer: bytes | None = answer) -> None:
+                    await reader.readline()
+                    if answer is not None:
+                        writer.write(answer)
+                        writer.close()
+
+                server = await asyncio.start_unix_server(odd, str(path))
+                self.program, _ = await self.follow()
+                self.assertTrue(any("nothing taken over" in line for line in self.program.lines))
+                self.assertEqual((await (await self.connect()).ask()).status, 200)
+                server.close()
+
+    async def test_a_long_tmpdir_is_no_hindrance_and_the_socket_is_private(self) -> None:
+        self.folder = os.path.join(self.folder, "d" * 120)
+        os.mkdir(self.folder)
+        first, _ = await self.follow()
+        second, _ = await self.follow()
+        self.assertTrue(any("taken over" in line for line in second.lines))
+        self.assertEqual(os.stat(os.path.join(self.folder, "n1.handover")).st_mode & 0o777, 0o600)
