--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -11,6 +11,7 @@
     Answer,
     Attempt,
     DuplicateError,
+    Flow,
     Kind,
     Nodes,
     Outcome,
@@ -55,6 +56,8 @@
             if mailbox.settle(Answer(Kind.GONE)):
                 self._decider.tell(api.Gone(mailbox.name))
                 self._counters["answers.gone"] += 1
+            elif isinstance(reply := mailbox.answer.result().reply, Flow):
+                reply.close()
             raise
         self._counters[f"answers.{answer.kind.value}"] += 1
         return answer
@@ -73,7 +76,9 @@
                 outcome = await self._attempt(mailbox, Attempt(request, number, order.node))
                 lag_us = self._decider.clock.now_us() - sent_us
                 if outcome.result is api.Result.OK:
-                    mailbox.settle(Answer(Kind.SERVED, outcome.reply))
+                    served = mailbox.settle(Answer(Kind.SERVED, outcome.reply))
+                    if not served and isinstance(outcome.reply, Flow):
+                        outcome.reply.close()
                 self._decider.tell(api.Ended(
                     mailbox.name, number, order.node, outcome.result, lag_us, mailbox.answer.done(),
                     outcome.used, outcome.elsewhere, outcome.held,
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from lemonridge import api
 
@@ -46,6 +46,13 @@
     reached: bool = False
 
 
+@runtime_checkable
+class Flow(Protocol):
+    """A reply that is still coming. Whoever does not pass it on closes it."""
+
+    def close(self) -> None: ...
+
+
 @dataclass(slots=True)
 class Outcome:
     """How an attempt ended; `reply` is the node's answer, in the form of its wire, and after MOVED what the
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -17,10 +17,13 @@
 from lemonridge.core.clock import Clock
 from lemonridge.counters import Counters
 from lemonridge.net import heads
-from lemonridge.net.wire import BODY_MAX
+from lemonridge.net.wire import LONG_MAX
 from lemonridge.operate.life import Life, Phase
 
 WAIT_S = 2.0  # a connection with no open request may be closed after that
+HEAD_S = 2.5  # a client may take 2 s for a head; what it began in time may still be on its way
+BODY_S = 2.5  # and for a body, beyond what it takes at the least rate
+BODY_RATE = 64_000  # bytes a second
 KEEP_S = 10.0  # an idle one is kept so long while there is room
 ROOMY = 1 / 8  # of the sockets: with no more clients than that there is room
 TIGHT = 0.25  # of the sockets: past it a new one takes the place of one that can be spared
@@ -29,6 +32,7 @@
 UNTAKEN_S = 5.0  # how long a client may leave its answer unread
 SWEEP_S = 0.25
 LOOKED_AT = 8  # of a state, for one that can be spared: a crowd must not cost a look at all of it
+SHORT = 16 * 1024  # a body that is not counted against the long ones
 AHEAD = 16 * 1024  # bytes behind an open request, before they are left in the socket
 
 
@@ -43,8 +47,8 @@
 
 
 # In this order connections make room for a new one, if they have been there for so long: who connects to
-# ask does so at once, and what has begun is about to be whole.
-SPARED_S = {State.LEAVING: 0.0, State.FRESH: 0.005, State.PARTIAL: 0.05, State.IDLE: 0.5}
+# ask does so at once; what has begun goes last, since a client may take its time for a head or a body.
+SPARED_S = {State.LEAVING: 0.0, State.FRESH: 0.005, State.IDLE: 0.5, State.PARTIAL: 1.0}
 
 
 class Room:
@@ -56,6 +60,7 @@
         self._states: tuple[dict[Connection, float], ...] = tuple({} for _ in State)
         self._sockets = self.buffer_max = 0  # until it is configured
         self.buffered = 0
+        self.promised = 0  # bytes of bodies that have begun, by what they say of their length
         self._timer = self._loop.call_at(self._loop.time() + SWEEP_S, self._sweep)
 
     def configure(self, sockets: int, buffer_max: int) -> None:
@@ -121,8 +126,11 @@
         if self.clock.now_us() >= self.life.closes_us:
             self.close_waiting()
         keep = KEEP_S if len(self) <= self._sockets * ROOMY else WAIT_S
-        for state, limit in ((State.LEAVING, LINGER_S), (State.FRESH, WAIT_S), (State.PARTIAL, WAIT_S),
-                             (State.IDLE, keep)):  # fmt: skip
+        for connection in list(self._states[State.PARTIAL]):
+            if connection.patience_at < now:
+                self.counters["clients.expired"] += 1
+                connection.close()
+        for state, limit in ((State.LEAVING, LINGER_S), (State.FRESH, WAIT_S), (State.IDLE, keep)):
             for connection, since in list(self._states[state].items()):
                 if since > now - limit:
                     break
@@ -142,11 +150,16 @@
         self._handler: web.RequestHandler | None = None
         self._data = bytearray()
         self._searched = 0  # of the data, for the end of a head
-        self._need = 0  # the length of the request that has begun, once its head is there
+        self._head: heads.Head | None = None  # of the request that has begun, once it is there
+        self._chunks: heads.Chunks | None = None  # where its body comes in chunks
+        self._body = bytearray()
+        self._promised = 0  # bytes of its body
+        self.body = b""  # of the open request
+        self.patience_at = 0.0  # until when the request that has begun may take, on the loop's clock
         self._over = self._paused = False
         self.state: State | None = None  # the room keeps it
         self.late = room.life.phase is Phase.STOPPING  # it came when the program was to end: it is not kept
-        self.arrived_us = 0  # when the first byte of the request came
+        self.arrived_us = 0  # when the last byte of the open request came
         self.stuck_at: float | None = None  # since when the client has not taken what is written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -156,7 +169,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._over = True
-        self._room.buffered -= len(self._data)
+        self._room.buffered -= len(self._data) + len(self._body)
+        self._room.promised -= self._promised
         self._room.move(self, None)
         if self._handler is not None:
             self._by_handler.pop(self._handler, None)
@@ -174,11 +188,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self._over:
-            return
-        if not self._data:
-            self.arrived_us = self._room.clock.now_us()
-            if self.state is State.IDLE:
-                self._room.move(self, State.PARTIAL)
+            return  # it is dropped
+        if not self._data and self.state in (State.IDLE, State.FRESH):
+            self._begin()
         self._data += data
         self._room.buffered += len(data)
         if self.state is not State.BUSY:
@@ -195,9 +207,18 @@
         if self._paused:
             self._paused = False
             self._transport.resume_reading()
-        self._room.move(self, State.PARTIAL if self._data else State.IDLE)
+        self._room.promised -= self._promised
+        self.body, self._promised = b"", 0
         if self._data:
+            self._begin()
             asyncio.get_running_loop().call_soon(self._next)
+        else:
+            self._room.move(self, State.IDLE)
+
+    def _begin(self) -> None:
+        """The next request begins."""
+        self.patience_at = asyncio.get_running_loop().time() + HEAD_S
+        self._room.move(self, State.PARTIAL)
 
     def refuse(self, status: int, text: str) -> None:
         """Answer what must not go further, and end the connection: where its next request begins is not
@@ -208,10 +229,8 @@
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
         self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
         self._over = True
-        if self._need <= len(self._data):
-            self._transport.close()
-            return
-        self._transport.pause_reading()
+        if status != HTTPStatus.SERVICE_UNAVAILABLE:  # who may come back is read from, to have its answer
+            self._transport.pause_reading()
         self._transport.write_eof()
         self._room.move(self, State.LEAVING)
 
@@ -241,16 +260,17 @@
         """Hand over the next request, once it is whole."""
         if self._over or self.state is State.BUSY:
             return
-        if not self._need and not self._head():
-            return
-        if len(self._data) < self._need:
-            if self._room.buffered > self._room.buffer_max:
-                self.refuse(503, "too much is on its way")
+        try:
+            if (self._head is None and not self._take_head()) or not self._take_body():
+                return
+        except heads.BadMessageError as error:
+            self.refuse(error.status, str(error))
             return
-        message = bytes(self._data[: self._need])
-        del self._data[: self._need]
-        self._room.buffered -= self._need
-        self._searched = self._need = 0
+        assert self._head is not None
+        message = self._head.bare()
+        self.body, self.arrived_us = bytes(self._body), self._room.clock.now_us()
+        self._room.buffered -= len(self._body)
+        self._body, self._head, self._chunks, self._searched = bytearray(), None, None, 0
         if self._handler is None:
             self._handler = self._server()
             self._by_handler[self._handler] = self
@@ -258,26 +278,57 @@
         self._room.move(self, State.BUSY)
         self._handler.data_received(message)
 
-    def _head(self) -> bool:
-        """Read the head of the next request; False where it is not whole or not to be taken."""
+    def _take_head(self) -> bool:
+        """Read the head of the next request; False where it is not whole yet."""
         while self._data.startswith(b"\r\n") and len(self._data) > 2:  # an empty line before it is allowed
-            del self._data[:2]
-            self._room.buffered -= 2
+            self._drop(2)
         end = self._data.find(heads.END, max(0, self._searched - 3))
         if end < 0 or end > heads.HEAD_MAX:
             self._searched = len(self._data)
             if len(self._data) > heads.HEAD_MAX:
-                self._need = len(self._data) + 1  # there is more of it
-                self.refuse(431, "the head is too long")
+                raise heads.BadMessageError(431, "the head is too long")
             return False
-        try:
-            length, fields = heads.request(bytes(self._data[: end + 4]))
-            self._need = end + 4 + length
-            if length > BODY_MAX:
-                raise heads.BadMessageError(413, "a body holds 64 KiB at most")
-        except heads.BadMessageError as error:
-            self.refuse(error.status, str(error))
-            return False
-        if fields.get(b"expect") == [b"100-continue"] and len(self._data) < self._need:
+        head = heads.request(bytes(self._data[: end + 4]))
+        if (head.length or 0) > LONG_MAX:
+            raise heads.BadMessageError(413, "a body holds 32 MiB at most")
+        self._promise(head.length or 0)
+        self._drop(end + 4)
+        self._head, self._chunks = head, heads.Chunks() if head.length is None else None
+        self.patience_at = asyncio.get_running_loop().time() + BODY_S + (head.length or 0) / BODY_RATE
+        if head.fields.get(b"expect") == [b"100-continue"] and not self._data and head.length != 0:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
+
+    def _take_body(self) -> bool:
+        """Take what has come of the body; whether it is whole."""
+        assert self._head is not None
+        before = len(self._data) + len(self._body)
+        if self._chunks is not None:
+            had = len(self._body)
+            self._chunks.feed(self._data, self._body)
+            self._promise(len(self._body) - had)
+            self.patience_at += (len(self._body) - had) / BODY_RATE
+            whole = self._chunks.whole
+        else:
+            want = (self._head.length or 0) - len(self._body)
+            if want > 0:
+                self._body += self._data[:want]
+                del self._data[:want]
+            whole = len(self._body) == self._head.length
+        self._room.buffered += len(self._data) + len(self._body) - before
+        if not whole and len(self._body) > LONG_MAX:
+            raise heads.BadMessageError(413, "a body holds 32 MiB at most")
+        return whole
+
+    def _promise(self, count: int) -> None:
+        """So many bytes of a body are to come: what cannot be held whole is refused before it has come. Short
+        bodies have room beside the long ones, for as many as there can be connections."""
+        if self._promised + count > SHORT and self._room.promised + count > self._room.buffer_max:
+            self._room.counters["requests.no_room"] += 1
+            raise heads.BadMessageError(503, "too much is on its way")
+        self._promised += count
+        self._room.promised += count
+
+    def _drop(self, count: int) -> None:
+        del self._data[:count]
+        self._room.buffered -= count
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -21,8 +21,9 @@
 from lemonridge.core.model import Answer, DuplicateError, Kind, Request
 from lemonridge.counters import Counters
 from lemonridge.net.heads import BadMessageError
+from lemonridge.net.http_answer import BrokenError, LongAnswer
 from lemonridge.net.http_connection import Connection, Room
-from lemonridge.net.wire import BODY_MAX, Payload
+from lemonridge.net.wire import Payload
 from lemonridge.operate.life import FAR_US, Life
 
 log = logging.getLogger(__name__)
@@ -128,22 +129,35 @@
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """One request of a connection, until its answer is written."""
         connection, keep = self._connections[http.protocol], False
+        answer: web.Response | LongAnswer | None = None
         try:
-            response = await self._answer(http, connection.arrived_us)
+            answer = await self._answer(http, connection)
+            response = _begin(answer) if isinstance(answer, LongAnswer) else answer
             if connection.late or not self._life.keeps(self._clock.now_us()) or 400 <= response.status < 500:
                 response.force_close()
             await response.prepare(http)
+            if not isinstance(answer, web.Response):
+                async for part in answer.parts():
+                    await response.write(part)
             await response.write_eof()
             keep = bool(response.keep_alive)
             return response
+        except BrokenError as error:
+            log.info("answer cut short", extra={"why": str(error)})
+            self._counters["answers.cut"] += 1
+            connection.abort()  # what the client has is short of its length or its last chunk
+            raise ConnectionResetError from None
         finally:
+            if isinstance(answer, LongAnswer):
+                answer.close()
             connection.answered(keep)
 
-    async def _answer(self, http: web.BaseRequest, arrived_us: int) -> web.Response:
+    async def _answer(self, http: web.BaseRequest, connection: Connection) -> web.Response | LongAnswer:
+        arrived_us = connection.arrived_us
         if http.path.startswith("/-/"):
             return self._ready(http)
         try:
-            request = await self._parse(http, arrived_us)
+            request = self._parse(http, connection.body, arrived_us)
             if self._life.ends_us != FAR_US:
                 self._counters["requests.stopping"] += 1
             # Not by a nearer deadline: the module takes that for a client that has waited for long already.
@@ -171,9 +185,8 @@
         up = self._directory.listed and self._life.ready
         return web.Response(status=200 if up else 503)
 
-    async def _parse(self, http: web.BaseRequest, arrived_us: int) -> Request:
+    def _parse(self, http: web.BaseRequest, body: bytes, arrived_us: int) -> Request:
         """A core request, or `BadMessageError`: nothing that is malformed goes any further."""
-        body = await http.read()  # all of it is there: a connection hands over whole requests only
         headers, platform = http.headers, self._platform
         path = PATH.fullmatch(http.raw_path.partition("?")[0])
         if path is None:
@@ -225,7 +238,7 @@
 def _request(message: RawRequestMessage, payload: StreamReader, protocol: Any, writer: Any, task: Any
              ) -> web.BaseRequest:
     return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
-                           client_max_size=BODY_MAX)
+                           client_max_size=0)
 
 
 def _header(headers: CIMultiDictProxy[str], name: str) -> str:
@@ -236,8 +249,18 @@
     return values[0]
 
 
-def _response(answer: Answer) -> web.Response:
+def _begin(answer: LongAnswer) -> web.StreamResponse:
+    """The head of a long answer, of a told length or in chunks."""
+    response = web.StreamResponse()
+    if answer.length is not None:
+        response.content_length = answer.length
+    return response
+
+
+def _response(answer: Answer) -> web.Response | LongAnswer:
     """The answer on the wire; a refusal says when to come back, in seconds with decimals."""
+    if isinstance(answer.reply, LongAnswer):
+        return answer.reply
     if answer.kind is Kind.SERVED:
         assert isinstance(answer.reply, bytes)
         return web.Response(body=answer.reply)
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -20,9 +20,10 @@
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
-from lemonridge.net.http_answer import AnswerReader, BrokenError
-from lemonridge.net.wire import BODY_MAX, Payload, session
+from lemonridge.net.http_answer import AnswerReader, BrokenError, LongAnswer, gather
+from lemonridge.net.wire import Payload, session
 
+BUFFER = 16 * 1024  # of an answer, half of what is held before its connection is read no more
 REST_S = 0.002  # of a connection after an answer: what comes right behind it must be seen before its next use
 RETIRE = 0.9  # of the time after which a node closes an idle connection: a later request is a reset
 
@@ -124,7 +125,8 @@
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._before_first_byte)
         self._connector = _Connector(connect_us, keepalive_us, counters)
-        self._session = session(self._connector, middlewares=(_once,), trace_configs=[trace])
+        self._session = session(self._connector, middlewares=(_once,), trace_configs=[trace],
+                                read_bufsize=BUFFER)  # fmt: skip
 
     def configure(self, connect_us: int, keepalive_us: int) -> None:
         """New limits, for the connects and the reuses to come."""
@@ -140,11 +142,19 @@
         left_ms = (attempt.request.deadline_us - self._clock.now_us()) // 1000
         headers = {**payload.headers, "X-Deadline-Ms": str(max(1, left_ms))}
         try:
-            async with self._session.request(
+            response = await self._session.request(
                 payload.method, URL(f"http://{address}{payload.target}", encoded=True), headers=headers,
                 data=payload.body or None, allow_redirects=False, trace_request_ctx=attempt,
-            ) as response:  # fmt: skip
-                return await self._outcome(response)
+            )  # fmt: skip
+            outcome: Outcome | None = None
+            try:
+                outcome = await self._outcome(response)
+            finally:
+                if outcome is None:
+                    response.close()
+                elif not isinstance(outcome.reply, LongAnswer):
+                    response.release()
+            return outcome
         except aiohttp.ClientConnectorError:
             raise UnreachedError from None
         except (aiohttp.ClientError, OSError):
@@ -168,12 +178,10 @@
         attempt.reached = True
 
     async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
-        body = bytearray()
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if len(body) > BODY_MAX:
-                response.close()
-                return Outcome(api.Result.ERROR)
+        reply = await gather(response)
+        if isinstance(reply, LongAnswer) and response.status != 200:
+            reply.close()
+            return Outcome(api.Result.ERROR)
         headers = response.headers
         told: dict[str, Any] = {
             "used": _whole(headers.get("X-Iops-Used"), 1),
@@ -181,7 +189,7 @@
             "held": _load(headers.get("X-Load")).get("inflight"),
         }
         if response.status == 200:
-            return Outcome(api.Result.OK, bytes(body), **told)
+            return Outcome(api.Result.OK, reply, **told)
         if response.status in (503, 504) and headers.get("X-Not-Run") == "1":
             return Outcome(api.Result.FULL, **told)
         return Outcome(api.Result.ERROR, **told)
--- a/lemonridge/net/wire.py
+++ b/lemonridge/net/wire.py
@@ -6,7 +6,8 @@
 
 import aiohttp
 
-BODY_MAX = 64 * 1024
+BODY_MAX = 64 * 1024  # a longer answer is passed on as it comes
+LONG_MAX = 32 * 2**20
 
 
 @dataclass(slots=True)
