Cut a request that stays half within 3 s again, and let it make room first

A client that sends half a request is owed an error or the end within 3 s of connecting; a head had 2.5 s and a body 2.5 s more, looked at each 0.25 s, and such a connection was spared last where sockets are tight, so usual clients' idle ones went in its place.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -21,8 +21,8 @@
 from lemonridge.operate.life import Life, Phase
 
 WAIT_S = 2.0  # a connection with no open request may be closed after that
-HEAD_S = 2.5  # a client may take 2 s for a head; what it began in time may still be on its way
-BODY_S = 2.5  # and for a body, beyond what it takes at the least rate
+HEAD_S = 2.3  # a client may take 2 s for a head; one that is owed an error has it, or the end, within 3 s
+BODY_S = 1.0  # and for a body, beyond what it takes at the least rate
 BODY_RATE = 64_000  # bytes a second
 KEEP_S = 10.0  # an idle one is kept so long while there is room
 ROOMY = 1 / 8  # of the sockets: with no more clients than that there is room
@@ -47,8 +47,9 @@
 
 
 # In this order connections make room for a new one, if they have been there for so long: who connects to
-# ask does so at once; what has begun goes last, since a client may take its time for a head or a body.
-SPARED_S = {State.LEAVING: 0.0, State.FRESH: 0.005, State.IDLE: 0.5, State.PARTIAL: 1.0}
+# ask does so at once, and what has begun is about to be whole. A client may take its time for a head or a body
+# only while there is room.
+SPARED_S = {State.LEAVING: 0.0, State.FRESH: 0.005, State.PARTIAL: 0.05, State.IDLE: 0.5}
 
 
 class Room:
@@ -294,7 +295,8 @@
         self._promise(head.length or 0)
         self._drop(end + 4)
         self._head, self._chunks = head, heads.Chunks() if head.length is None else None
-        self.patience_at = asyncio.get_running_loop().time() + BODY_S + (head.length or 0) / BODY_RATE
+        body_s = BODY_S + (head.length or 0) / BODY_RATE
+        self.patience_at = max(self.patience_at, asyncio.get_running_loop().time() + body_s)
         if head.fields.get(b"expect") == [b"100-continue"] and not self._data and head.length != 0:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
