--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -47,8 +47,8 @@
 
 
 # In this order connections make room for a new one, if they have been there for so long: who connects to
-# ask does so at once, and what has begun is about to be whole. A client may take its time for a head or a body
-# only while there is room.
+# ask does so at once, and what has begun is about to be whole. A client may take its time for a head or a
+# body only while there is room.
 SPARED_S = {State.LEAVING: 0.0, State.FRESH: 0.005, State.PARTIAL: 0.05, State.IDLE: 0.5}
 
 
