Ask the system in one place whether a connection has something unread

Found on reading the change again: the clients' connections got a copy of the poll that the nodes' connector already made for its idle connections. net/wire.quiet serves both; what each asks beside it (closing, should_close, no transport) is as before.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import itertools
-import select
 from enum import IntEnum
 from http import HTTPStatus
 
@@ -17,7 +16,7 @@
 from lemonridge.core.clock import Clock
 from lemonridge.counters import Counters
 from lemonridge.net import heads
-from lemonridge.net.wire import LONG_MAX
+from lemonridge.net.wire import LONG_MAX, quiet
 from lemonridge.operate.life import Life, Phase
 
 WAIT_S = 2.0  # a connection with no open request may be closed after that
@@ -236,13 +235,8 @@
         self._room.move(self, State.LEAVING)
 
     def quiet(self) -> bool:
-        """Whether nothing waits to be read. It is asked of the system: a loop that is busy has not read yet
-        what came first, and to end the connection then would lose a request unread."""
-        if self._transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        """Whether nothing waits to be read; to end the connection then loses no request unread."""
+        return self._transport.is_closing() or quiet(self._transport)
 
     def close(self) -> None:
         self._leave()
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-import select
 from types import SimpleNamespace
 from typing import Any
 
@@ -21,7 +20,7 @@
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
 from lemonridge.net.http_answer import AnswerReader, BrokenError, LongAnswer, gather
-from lemonridge.net.wire import Payload, session
+from lemonridge.net.wire import Payload, quiet, session
 
 BUFFER = 16 * 1024  # of an answer, half of what is held before its connection is read no more
 REST_S = 0.002  # of a connection after an answer: what comes right behind it must be seen before its next use
@@ -87,7 +86,8 @@
             except BaseException:
                 connection.close()
                 raise
-            if protocol is not None and not protocol.should_close and _quiet(protocol):
+            transport = None if protocol is None or protocol.should_close else protocol.transport
+            if transport is not None and quiet(transport):
                 return connection
             self._counters["connections.spoilt"] += 1
             connection.close()
@@ -107,15 +107,6 @@
             idle.rotate(1)
 
 
-def _quiet(protocol: ResponseHandler) -> bool:
-    """Whether nothing waits to be read on a connection, not even its end."""
-    if protocol.transport is None:
-        return False
-    poll = select.poll()
-    poll.register(protocol.transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return not poll.poll(0)
-
-
 class HttpNodes:
     """Makes attempts at the platform's nodes."""
 
--- a/lemonridge/net/wire.py
+++ b/lemonridge/net/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import select
 from dataclasses import dataclass
 
 import aiohttp
@@ -20,6 +22,14 @@
     body: bytes
 
 
+def quiet(transport: asyncio.BaseTransport) -> bool:
+    """Whether nothing waits to be read on a connection, not even its end. It is asked of the system, since a
+    busy event loop has not read yet what came."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return not poll.poll(0)
+
+
 def session(connector: aiohttp.BaseConnector, **options: object) -> aiohttp.ClientSession:
     """A client that does nothing of its own: it keeps no cookies, asks no proxy, adds no header,
     decompresses nothing and knows no time-out, since every deadline is the caller's."""
