Give the lab rooms, and end its two circles of imports

Need: 7,000 lines of the lab lay flat, so that a newcomer could not tell stand-ins from drills; the conformance suite and its cases imported each other, and so did the model's world and outcome.

No behaviour is changed.

--- a/lemonridge/lab/check.py
+++ b/lemonridge/lab/checkers/extents.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from lemonridge.lab.mover import Owned
-from lemonridge.lab.node import BLOCK, Key, Ran
+from lemonridge.lab.standins.mover import Owned
+from lemonridge.lab.standins.node import BLOCK, Key, Ran
 
 STAMP = struct.Struct(">QQ")
 
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -10,8 +10,11 @@
 import orjson
 
 from lemonridge.config import Address, ConfigError
-from lemonridge.lab import bench_extents, bench_iscsi, drill_extents, drill_iscsi
 from lemonridge.lab.conform import suite
+from lemonridge.lab.drills import extents as drill_extents
+from lemonridge.lab.drills import iscsi as drill_iscsi
+from lemonridge.lab.measure import extents as bench_extents
+from lemonridge.lab.measure import iscsi as bench_iscsi
 from lemonridge.lab.program import ProgramError
 
 
@@ -44,7 +47,7 @@
 def bench(options: argparse.Namespace) -> int:
     """Print the figures, a line each; 1 where the map misses its bounds, or CPU rose by more than a tenth."""
     if options.name == "decisions":
-        from lemonridge.lab import bench_decisions
+        from lemonridge.lab.measure import decisions as bench_decisions
 
         figures = bench_decisions.ratio(options.seed)
         print(line(figures))
@@ -148,7 +151,7 @@
 
 def _lab_validate(options: argparse.Namespace) -> int:
     """`lemonridge lab validate`: the figures side by side; 0 only where each lies within its bound."""
-    from lemonridge.lab import validate
+    from lemonridge.lab.measure import validate
 
     if not 1 <= options.nodes <= 32 or not 1 <= options.work_ms <= 1000 or not 0 < options.load <= 1.5:
         raise ConfigError("validate: --nodes from 1 to 32, --work-ms from 1 to 1000, --load above 0 to 1.5")
@@ -172,7 +175,8 @@
 def load(options: argparse.Namespace) -> int:
     """`lemonridge load`: a line a second, then the summary; 1 where nothing was served."""
     try:
-        from lemonridge.lab import load as tool
+        from lemonridge.lab.load import iscsi as tool
+        from lemonridge.lab.load.openloop import Tally
     except ImportError:
         raise ConfigError("load needs the extra lab: pip install 'lemonridge[lab]'") from None
     if not 0 < options.rate <= 20_000 or not 0 < options.seconds <= 3600 or not 0 < options.size_kib <= 256:
@@ -189,7 +193,7 @@
     if options.name == "http":
         return _load_http(options, port)
 
-    async def whole() -> tool.Tally:
+    async def whole() -> Tally:
         def plan(port: int) -> tool.Plan:
             return tool.Plan(port, options.iqn, options.rate, options.seconds, options.size_kib * 1024,
                              options.writes, arrivals=options.arrivals, seed=options.seed)  # fmt: skip
@@ -212,8 +216,8 @@
 
 def _load_http(options: argparse.Namespace, port: int) -> int:
     """`lemonridge load http`: at `--target`, or at a broker before `--serve-standins` nodes of its own."""
-    from lemonridge.lab import load_http as tool
-    from lemonridge.lab.load import Tally
+    from lemonridge.lab.load import http as tool
+    from lemonridge.lab.load.openloop import Tally
 
     if not 1 <= options.serve_standins <= 64 or not 1 <= options.connections <= 1024:
         raise ConfigError("load: --serve-standins from 1 to 64, --connections from 1 to 1024")
--- a/lemonridge/lab/conform/data.py
+++ b/lemonridge/lab/conform/data.py
@@ -7,8 +7,8 @@
 import struct
 
 from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu, pack_lun
+from lemonridge.lab.conform.cases import Meeting, SkipError, case
 from lemonridge.lab.conform.peer import Peer, expect, same
-from lemonridge.lab.conform.suite import Meeting, SkipError, case
 
 LENGTHS = (512, 1024, 4096, 65536, 131072)
 LEVELS = ("0", "1", "2")
--- a/lemonridge/lab/conform/login.py
+++ b/lemonridge/lab/conform/login.py
@@ -4,8 +4,7 @@
 
 from lemonridge.iscsi import chap, keys
 from lemonridge.iscsi.pdu import CONTINUE, FINAL, NONE, Op, Pdu, pack_text, unpack_text
-from lemonridge.lab.conform.peer import Peer, expect, same
-from lemonridge.lab.conform.suite import (
+from lemonridge.lab.conform.cases import (
     ACCOUNT,
     GUARDED,
     MUTUAL,
@@ -16,6 +15,7 @@
     Meeting,
     case,
 )  # fmt: skip
+from lemonridge.lab.conform.peer import Peer, expect, same
 
 OPERATIONAL = FINAL | 1 << 2 | 3  # straight to the full feature phase
 SECURITY = 0
--- a/lemonridge/lab/conform/scsi.py
+++ b/lemonridge/lab/conform/scsi.py
@@ -4,9 +4,9 @@
 
 import struct
 
+from lemonridge.lab.conform.cases import BLOCKS, Meeting, case
 from lemonridge.lab.conform.data import read10, write10
 from lemonridge.lab.conform.peer import Peer, expect, same
-from lemonridge.lab.conform.suite import BLOCKS, Meeting, case
 
 TUR = bytes(6)
 WE, EA, WE_RO, EA_RO, WE_AR, EA_AR = 1, 3, 5, 6, 7, 8
--- a/lemonridge/lab/conform/session.py
+++ b/lemonridge/lab/conform/session.py
@@ -7,8 +7,8 @@
 import struct
 
 from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu
+from lemonridge.lab.conform.cases import GUARDED, Meeting, SkipError, case
 from lemonridge.lab.conform.peer import Peer, expect, same
-from lemonridge.lab.conform.suite import GUARDED, Meeting, SkipError, case
 
 TUR = bytes(6)
 READ = b"\x28" + bytes(6) + b"\0\x01\0"
--- a/lemonridge/lab/demo.py
+++ b/lemonridge/lab/demo.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 from random import Random
 
-from lemonridge.lab import load
-from lemonridge.lab.bench_iscsi import CONFIG
-from lemonridge.lab.conform.suite import STORE
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import ExtentNode
+from lemonridge.lab.conform.cases import STORE
+from lemonridge.lab.load import iscsi as load
+from lemonridge.lab.measure.iscsi import CONFIG
 from lemonridge.lab.program import running
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.mover import Mover
+from lemonridge.lab.standins.node import ExtentNode
 from lemonridge.lab.ticks import Ticks
 
 PREFIX, NODES, BLOCKS, RATE = "/demo/", 3, 1024, 150.0
--- a/lemonridge/lab/drill_extents.py
+++ b/lemonridge/lab/drills/extents.py
@@ -12,13 +12,13 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from lemonridge.lab.check import Asked, Findings, check, end_of, stamped, stamps
-from lemonridge.lab.drains import Drains
-from lemonridge.lab.etcd import Etcd, Events
-from lemonridge.lab.initiator import Initiator, cdb
-from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import BLOCK, ExtentNode
+from lemonridge.lab.checkers.extents import Asked, Findings, check, end_of, stamped, stamps
+from lemonridge.lab.links.drains import Drains
+from lemonridge.lab.load.initiator import Initiator, cdb
 from lemonridge.lab.program import Program, running
+from lemonridge.lab.standins.etcd import Etcd, Events
+from lemonridge.lab.standins.mover import Mover
+from lemonridge.lab.standins.node import BLOCK, ExtentNode
 from lemonridge.lab.ticks import Ticks
 
 PREFIX = "/drill/"
--- a/lemonridge/lab/drill_iscsi.py
+++ b/lemonridge/lab/drills/iscsi.py
@@ -14,15 +14,15 @@
 from random import Random
 from typing import Any
 
-from lemonridge.lab.check import Asked, Findings, check, end_of, stamped, stamps
-from lemonridge.lab.client import Client, CommandLostError, Link
-from lemonridge.lab.conform.suite import ACCOUNT, GUARDED, SECRET, SECRETS, STORE
-from lemonridge.lab.drains import Drains
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.initiator import cdb
-from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import BLOCK, ExtentNode
+from lemonridge.lab.checkers.extents import Asked, Findings, check, end_of, stamped, stamps
+from lemonridge.lab.conform.cases import ACCOUNT, GUARDED, SECRET, SECRETS, STORE
+from lemonridge.lab.links.drains import Drains
+from lemonridge.lab.load.client import Client, CommandLostError, Link
+from lemonridge.lab.load.initiator import cdb
 from lemonridge.lab.program import running
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.mover import Mover
+from lemonridge.lab.standins.node import BLOCK, ExtentNode
 from lemonridge.lab.ticks import Ticks
 
 PREFIX, BLOCKS, CLIENTS, LANES = "/drill/", 2048, 6, 3
--- /dev/null
+++ b/lemonridge/lab/links/__init__.py
@@ -0,0 +1,1 @@
+"""Stretches of network and other things that go wrong: cuts, flipped bits, lost datagrams, drains."""
--- a/lemonridge/lab/drains.py
+++ b/lemonridge/lab/links/drains.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.node import ExtentNode
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.node import ExtentNode
 
 GRACE_S = 0.5 + 0.05  # the rule, and what a log line may take
 FOR_S, LOOK_S = 0.8, 0.02
--- a/lemonridge/lab/client.py
+++ b/lemonridge/lab/load/client.py
@@ -29,7 +29,7 @@
     read_pdu,
     unpack_text,
 )  # fmt: skip
-from lemonridge.lab.link import Link, Straight
+from lemonridge.lab.links.pdus import Link, Straight
 
 __all__ = ["Client", "CommandLostError", "Link"]
 
--- a/lemonridge/lab/load_http.py
+++ b/lemonridge/lab/load/http.py
@@ -19,9 +19,9 @@
 
 import aiohttp
 
-from lemonridge.lab.load import Tally, open_loop
+from lemonridge.lab.load.openloop import Tally, open_loop
 from lemonridge.lab.program import Program, ProgramError
-from lemonridge.lab.standins_http import Discovery, DiskNode
+from lemonridge.lab.standins.platform import Discovery, DiskNode
 
 READY_S = 15.0  # for the broker's first list
 
--- /dev/null
+++ b/lemonridge/lab/load/iscsi.py
@@ -0,0 +1,69 @@
+"""An open-loop generator of iSCSI load: commands are due at times that no answer moves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from lemonridge.lab.links.pdus import Straight
+from lemonridge.lab.load.client import Client, CommandLostError
+from lemonridge.lab.load.initiator import cdb
+from lemonridge.lab.load.openloop import Tally, open_loop
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is asked for: `rate` commands a second for `seconds`, of `size` bytes, `writes` of them writes."""
+
+    port: int
+    target: str
+    rate: float
+    seconds: float
+    size: int = 4096
+    writes: float = 0.3
+    luns: tuple[int, ...] = (0,)
+    blocks: int = 1024  # of each LUN that are used
+    arrivals: str = "poisson"  # or even, or bursty: twenty at a time
+    sessions: int = 4
+    outstanding: int = 2000  # past it a command is not sent, and counted so
+    patience_s: float = 10.0
+    seed: int = 1
+
+
+async def run(plan: Plan, say: Callable[[str], None] = lambda text: None) -> Tally:
+    """Send what is due, and wait for what is out; `say` gets a line a second."""
+    loop, random, tally = asyncio.get_running_loop(), Random(plan.seed), Tally()
+    link = Straight(plan.port)
+    none = {"HeaderDigest": "None", "DataDigest": "None"}
+    name = "iqn.2026-12.org.lemonridge:load"
+    clients = [Client(link, plan.target, f"{name}-{number}", 1, 0, Random(number), None, none)
+               for number in range(plan.sessions)]  # fmt: skip
+    data = bytes(plan.size)
+
+    async def one(client: Client, at: float, writes: bool, lun: int, place: int) -> None:
+        text = cdb(0x2A if writes else 0x28, place, plan.size)
+        try:
+            async with asyncio.timeout_at(at + plan.patience_s):
+                status, _ = await client.run(text, lun, data if writes else b"", 0 if writes else plan.size)
+        except (CommandLostError, TimeoutError):
+            tally.lost += 1
+            return
+        if status == 0:
+            tally.took("write" if writes else "read", at, loop.time())
+        elif status in (0x08, 0x28):
+            tally.refused += 1
+        else:
+            tally.failed += 1
+
+    def draw(due: float, number: int) -> Coroutine[Any, Any, None]:
+        writes, lun = random.random() < plan.writes, random.choice(plan.luns)
+        place = random.randrange(max(1, plan.blocks - plan.size // 512))
+        return one(clients[number % plan.sessions], due, writes, lun, place)
+
+    await open_loop(tally, plan.rate, plan.arrivals, plan.seconds, plan.outstanding, random, draw, say)
+    for client in clients:
+        await client.close()
+    return tally
--- a/lemonridge/lab/bench_extents.py
+++ b/lemonridge/lab/measure/extents.py
@@ -14,7 +14,7 @@
 from statistics import median
 
 from lemonridge.extents.map import Change, Extent, ExtentMap
-from lemonridge.lab.drill_extents import Drill, Options
+from lemonridge.lab.drills.extents import Drill, Options
 
 SIZES = (1_000, 100_000, 1_000_000)
 LOOKUPS, CHANGES, ROUNDS = 20_000, 2_000, 5
--- a/lemonridge/lab/bench_iscsi.py
+++ b/lemonridge/lab/measure/iscsi.py
@@ -14,14 +14,14 @@
 from dataclasses import dataclass
 from random import Random
 
-from lemonridge.lab.client import Client, CommandLostError
-from lemonridge.lab.conform.suite import STORE
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.initiator import cdb
-from lemonridge.lab.link import Link, Straight
-from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import BLOCK, ExtentNode
+from lemonridge.lab.conform.cases import STORE
+from lemonridge.lab.links.pdus import Link, Straight
+from lemonridge.lab.load.client import Client, CommandLostError
+from lemonridge.lab.load.initiator import cdb
 from lemonridge.lab.program import Program, running
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.mover import Mover
+from lemonridge.lab.standins.node import BLOCK, ExtentNode
 from lemonridge.lab.ticks import Ticks
 
 BLOCKS = 4096
--- a/lemonridge/lab/validate.py
+++ b/lemonridge/lab/measure/validate.py
@@ -12,7 +12,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from lemonridge.lab import load_http
+from lemonridge.lab.load import http as load_http
 from lemonridge.lab.model.spec import ClassSpec, NodeSpec, PlanSpec, Scenario
 from lemonridge.lab.model.world import UNITS_MEAN, UNITS_TOP, World
 
--- a/lemonridge/lab/model/outcome.py
+++ b/lemonridge/lab/model/outcome.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import orjson
 
-if TYPE_CHECKING:
-    from lemonridge.lab.model.node import Node
-    from lemonridge.lab.model.spec import Scenario
-    from lemonridge.lab.model.world import Request, World
+from lemonridge.lab.model.node import Node
+from lemonridge.lab.model.request import Request
+from lemonridge.lab.model.spec import Scenario
+
+
+class Decided(Protocol):
+    """A broker, as its cost is counted."""
+
+    cpu_s: float
+    decided: int
 
 
 @dataclass(slots=True)
@@ -78,10 +85,11 @@
         line = self.lines[request.cls]
         setattr(line, end, getattr(line, end) + 1)
 
-    def close(self, world: World) -> None:
-        self.fallen = sum(node.fell for node in world.nodes.values())
-        self.cpu_us = sum(broker.cpu_s for broker in world.brokers) * 1e6
-        self.decided = sum(broker.decided for broker in world.brokers)
+    def close(self, nodes: Iterable[Node], brokers: Iterable[Decided]) -> None:
+        brokers = list(brokers)
+        self.fallen = sum(node.fell for node in nodes)
+        self.cpu_us = sum(broker.cpu_s for broker in brokers) * 1e6
+        self.decided = sum(broker.decided for broker in brokers)
 
     def reservations(self) -> float:
         """The part of what was asked for within the reserves that was served in time; 1 where none is
--- /dev/null
+++ b/lemonridge/lab/model/request.py
@@ -0,0 +1,46 @@
+"""What is asked in the model: volumes, and the requests of their clients."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lemonridge import api
+
+
+class Taker(Protocol):
+    """The broker that a request came to."""
+
+    number: int
+    up: bool
+    open: dict[str, Request]
+
+    def tell(self, event: api.Event) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Volume:
+    number: int
+    plan: int
+    shards: list[int]
+    hosts: list[int]
+    weight: float  # of the traffic
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A client's request; `again` counts its retries."""
+
+    name: str
+    volume: Volume
+    cls: int
+    shard: int
+    units: float
+    cost_us: float
+    born_us: float  # of its first try
+    deadline_us: float
+    broker: Taker
+    again: int = 0
+    answered: bool = False
+    attempts: dict[int, str] = field(default_factory=dict)  # under way: number -> node
+    made: int = 0
--- a/lemonridge/lab/model/world.py
+++ b/lemonridge/lab/model/world.py
@@ -10,7 +10,7 @@
 import time
 from bisect import bisect_right
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from math import exp
 
@@ -20,6 +20,7 @@
 from lemonridge.lab.model.baselines import make
 from lemonridge.lab.model.node import Node, Work
 from lemonridge.lab.model.outcome import Outcome
+from lemonridge.lab.model.request import Request, Volume
 from lemonridge.lab.model.spec import ClassSpec, Scenario, Trouble
 from lemonridge.lab.model.streams import Stream, Streams
 
@@ -36,34 +37,6 @@
     return exp(row.spread * normal - row.spread**2 / 2) if row.law == "lognormal" else 1.0
 
 
-@dataclass(slots=True, eq=False)
-class Volume:
-    number: int
-    plan: int
-    shards: list[int]
-    hosts: list[int]
-    weight: float  # of the traffic
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """A client's request; `again` counts its retries."""
-
-    name: str
-    volume: Volume
-    cls: int
-    shard: int
-    units: float
-    cost_us: float
-    born_us: float  # of its first try
-    deadline_us: float
-    broker: Broker
-    again: int = 0
-    answered: bool = False
-    attempts: dict[int, str] = field(default_factory=dict)  # under way: number -> node
-    made: int = 0
-
-
 class Broker:
     """Hosts one scheduler; its events gather for a tick, as they do for a turn of the real one's loop."""
 
@@ -233,7 +206,7 @@
         self.after(self._gap(), self._arrive)
         longest = max(row.deadline_ms for row in self.scenario.classes)
         self.env.run(until=self.scenario.seconds * 1e6 + longest * 2000 + 2e6)
-        self.out.close(self)
+        self.out.close(self.nodes.values(), self.brokers)
         return self.out
 
     def _gap(self) -> float:
--- a/lemonridge/lab/etcd.py
+++ b/lemonridge/lab/standins/etcd.py
@@ -16,7 +16,7 @@
 import orjson
 from aiohttp import web
 
-from lemonridge.lab.standins_http import listen
+from lemonridge.lab.standins.platform import listen
 
 CHUNK = 7  # bytes of a watch's stream that are written together
 
--- a/lemonridge/lab/mover.py
+++ b/lemonridge/lab/standins/mover.py
@@ -13,8 +13,8 @@
 
 from lemonridge.extents.etcd import HEAD, key_of
 from lemonridge.extents.routing import Told
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.node import ExtentNode, Hold, Key
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.node import ExtentNode, Hold, Key
 from lemonridge.lab.ticks import Ticks
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -18,8 +18,8 @@
 from typing import Any
 
 from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu, pack_text, read_pdu
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.initiator import Initiator, cdb
+from lemonridge.lab.load.initiator import Initiator, cdb
+from lemonridge.lab.standins.etcd import Etcd
 
 __all__ = ["Etcd", "Initiator", "cdb"]
 
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from lemonridge.lab import drill_iscsi
 from lemonridge.lab.conform import suite
 from lemonridge.lab.conform.faulty import FAULTS, Proxy
+from lemonridge.lab.drills import iscsi as drill_iscsi
 
 
 class Conforming(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -7,7 +7,7 @@
 
 from harness import IscsiCase, Program, Target
 
-from lemonridge.lab.etcd import Seen
+from lemonridge.lab.standins.etcd import Seen
 
 
 class Following(IscsiCase):
--- a/tests/test_extents_live.py
+++ b/tests/test_extents_live.py
@@ -15,12 +15,12 @@
 
 from lemonridge.extents.routing import Told
 from lemonridge.iscsi import versions
-from lemonridge.lab.check import stamp
-from lemonridge.lab.drill_extents import Drill, Options, held
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.initiator import Initiator, cdb
-from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import BLOCK, ExtentNode, Hold
+from lemonridge.lab.checkers.extents import stamp
+from lemonridge.lab.drills.extents import Drill, Options, held
+from lemonridge.lab.load.initiator import Initiator, cdb
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.mover import Mover
+from lemonridge.lab.standins.node import BLOCK, ExtentNode, Hold
 from lemonridge.lab.ticks import Ticks
 
 TEXT = """
--- a/tests/test_iscsi_rude.py
+++ b/tests/test_iscsi_rude.py
@@ -13,12 +13,12 @@
 from harness import Program
 
 from lemonridge.iscsi.pdu import FINAL, Op, Pdu
-from lemonridge.lab.bench_iscsi import BLOCKS, CONFIG
+from lemonridge.lab.conform.cases import STORE
 from lemonridge.lab.conform.peer import CaseError, Peer
-from lemonridge.lab.conform.suite import STORE
-from lemonridge.lab.etcd import Etcd
-from lemonridge.lab.mover import Mover
-from lemonridge.lab.node import ExtentNode
+from lemonridge.lab.measure.iscsi import BLOCKS, CONFIG
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.lab.standins.mover import Mover
+from lemonridge.lab.standins.node import ExtentNode
 from lemonridge.lab.ticks import Ticks
 
 US = "iqn.2026-12.org.lemonridge:us"
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,8 +13,9 @@
 
 from lemonridge import api
 from lemonridge.config import ConfigError
-from lemonridge.lab import demo, load
-from lemonridge.lab.bench_decisions import cost_us
+from lemonridge.lab import demo
+from lemonridge.lab.load import iscsi as load
+from lemonridge.lab.measure.decisions import cost_us
 from lemonridge.lab.model import runs, spec
 from lemonridge.lab.model.baselines import Baseline
 from lemonridge.lab.model.node import Node, Work
@@ -228,7 +229,7 @@
         slow = Slow()
         began = slow.now()
         slow.stall = (began + 0.5, began + 0.9)
-        with mock.patch("lemonridge.lab.load.Client", lambda *_: slow):
+        with mock.patch("lemonridge.lab.load.iscsi.Client", lambda *_: slow):
             return await load.run(load.Plan(1, "t", 300, 2.0, seed=4))
 
     tally = asyncio.run(whole())
@@ -242,7 +243,7 @@
     async def whole() -> load.Tally:
         slow = Slow()
         slow.stall = (0.0, slow.now() + 1.0)
-        with mock.patch("lemonridge.lab.load.Client", lambda *_: slow):
+        with mock.patch("lemonridge.lab.load.iscsi.Client", lambda *_: slow):
             return await load.run(load.Plan(1, "t", 400, 0.5, arrivals="bursty", outstanding=20))
 
     tally = asyncio.run(whole())
--- a/tests/test_load_http.py
+++ b/tests/test_load_http.py
@@ -5,8 +5,8 @@
 import asyncio
 import unittest
 
-from lemonridge.lab import load_http
-from lemonridge.lab.standins_http import Discovery, DiskNode
+from lemonridge.lab.load import http as load_http
+from lemonridge.lab.standins.platform import Discovery, DiskNode
 
 STALL_S = 0.4
 
@@ -70,7 +70,7 @@
 
 class Validation(unittest.TestCase):
     def test_a_figure_outside_its_bound_is_not_held(self) -> None:
-        from lemonridge.lab import validate
+        from lemonridge.lab.measure import validate
 
         model = {"served": 0.99, "p50_ms": 100.0, "p99_ms": 400.0}
         near = {"served": 0.98, "p50_ms": 120.0, "p99_ms": 500.0}
@@ -81,7 +81,7 @@
     def test_the_load_draws_volumes_and_shards_as_the_models_table_says(self) -> None:
         from random import Random
 
-        from lemonridge.lab.load_http import Plan, _place
+        from lemonridge.lab.load.http import Plan, _place
 
         plan = Plan(1, 1.0, 1.0, table=((3.0, (0, 1)), (1.0, (2,))))
         random = Random(4)
