--- a/lemonridge/api.py
+++ b/lemonridge/api.py
@@ -59,6 +59,14 @@
     LOST = "lost"  # nobody can say where its data is
 
 
+class Budget(Enum):
+    """What hosts share in slices."""
+
+    LIMIT = "limit"  # a volume's limit
+    COLD = "cold"  # what a cold node bears
+    FURTHER = "further"  # further attempts
+
+
 class ListKind(Enum):
     """What a list event holds."""
 
@@ -120,6 +128,7 @@
     free_resends: float
     extra_ratio: float
     key_rest_us: int
+    further_rate: float  # further attempts a second, of all hosts; 0: they are not counted together
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +217,22 @@
     settings: Settings
 
 
-Event = Arrived | Started | Ended | Moved | Gone | Woke | Listed | Configured
+@dataclass(frozen=True, slots=True)
+class Sliced:
+    """What this host may use of a budget since a moment ago: `part` until `until_us`, `after` from then on.
+
+    `name` is a volume, a node, or 0. Parts are of the limit, of the further attempts, or, at a cold node, of
+    what is this host's own there."""
+
+    budget: Budget
+    name: int | str
+    part: float
+    until_us: int
+    after: float
+    since_us: int
+
+
+Event = Arrived | Started | Ended | Moved | Gone | Woke | Listed | Configured | Sliced
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,4 +280,15 @@
     """Ask for the changes of the node list from here on."""
 
 
-Action = Send | Cancel | Refuse | Fail | Wake | Subscribe
+@dataclass(frozen=True, slots=True)
+class Chilled:
+    """A node's cold spell began for this host; what is its own there, in units a second, until it is over."""
+
+    node: str
+    shard: int
+    born_us: int
+    rate: float
+    until_us: int
+
+
+Action = Send | Cancel | Refuse | Fail | Wake | Subscribe | Chilled
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -131,7 +131,7 @@
                 self._counters[f"given_up.{action.why.value}"] += 1
             if isinstance(action, api.Wake):
                 self._wake_at(action.at_us)
-            elif not isinstance(action, api.Subscribe):  # the watch of the node list never ends
+            elif not isinstance(action, (api.Subscribe, api.Chilled)):  # the watch of the list never ends
                 mailbox = self._mailboxes.get(action.request)
                 if mailbox is not None:
                     mailbox.deliver(action)
--- /dev/null
+++ b/lemonridge/fleet/demand.py
@@ -0,0 +1,36 @@
+"""What is wanted of budgets: rates that fade, by key. Pure."""
+
+from __future__ import annotations
+
+from math import exp
+
+from lemonridge.fleet.escrow import Key
+
+FADE_US = 700_000  # memory of a rate: a lead that moves each second must be followed, single requests not
+AHEAD = 1.3  # so much more than what was asked for is wanted: room to grow into, against what others lack
+RATES_MAX = 8192  # keys that are kept; past it the ones that were not asked for the longest make room
+
+
+class Rates:
+    """Units a second by key, fading by FADE_US."""
+
+    def __init__(self) -> None:
+        self._rates: dict[Key, tuple[float, int]] = {}
+
+    def add(self, key: Key, units: float, now_us: int) -> None:
+        rate = self.rate(key, now_us) + units * 1e6 / FADE_US
+        self._rates.pop(key, None)  # the latest stands last
+        self._rates[key] = (rate, now_us)
+        if len(self._rates) > RATES_MAX:
+            del self._rates[next(iter(self._rates))]
+
+    def rate(self, key: Key, now_us: int) -> float:
+        """Units a second."""
+        rate, at_us = self._rates.get(key, (0.0, now_us))
+        return rate * exp(min(0, at_us - now_us) / FADE_US)
+
+    def known(self) -> list[Key]:
+        return list(self._rates)
+
+    def forget(self, key: Key) -> None:
+        self._rates.pop(key, None)
--- /dev/null
+++ b/lemonridge/fleet/escrow.py
@@ -0,0 +1,281 @@
+"""Budgets of the fleet, dealt in slices that never add up to more than the whole. Pure.
+
+Each broker owns a part of each budget (of a volume's limit: an even one for each broker that the volume works
+through), and may lend what is above its floor. Who lends lowers its own before the message leaves. A loan has
+an end that both sides count on their own clock: the borrower from when it sent its question, the lender from
+when that came, and so later, and longer by the stated error of clocks (leases: Gray and Cheriton, "Leases: An
+Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", 1989, section 3). So no two clocks
+have to agree, and what is lost, doubled, late or held by one that died comes back by itself. A broker that
+has just started may have lent more than it knows of: until the longest loan must be over it has its floors.
+
+Invariant, at any moment, for each budget: the sum over the brokers that use it, of what each has of its own
+and what it has borrowed, is at most the whole. docs/fleet-state.md has the proof.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from lemonridge.fleet.wire import Grant, Item, Release, Want
+
+WHOLE = 1_000_000  # parts of a volume's limit, or of the further attempts
+SPAN_US = 1_500_000  # of a loan: what a dead borrower keeps from others, against questions a second
+ASK_US = 400_000  # between two questions for the same budget: a loan outlives two that are lost
+FLOOR = 10  # a tenth of what is its own is never lent
+LEAST = 1000  # parts under this are not worth a loan
+POOLS_MAX = 8192  # budgets that are kept; past it nothing new is lent or borrowed
+ASKS_MAX = 8  # questions remembered for a budget
+LOANS_MAX = 8  # loans of one borrower that have not ended; past it they count as one, the largest and longest
+
+
+class Kind(IntEnum):
+    """What a budget is of; `key` names it within its kind."""
+
+    LIMIT = 1  # a volume's limit: parts of its rate
+    COLD = 2  # a node's cold spell: a rate, in micro-units a second
+    FURTHER = 3  # further attempts of all brokers: parts of their rate
+
+
+Key = tuple[int, int]  # (kind, key)
+
+
+@dataclass(slots=True)
+class Loan:
+    """What went to one borrower's incarnation for its question `ask`."""
+
+    life: int
+    ask: int
+    parts: int
+    end_us: int
+
+
+@dataclass(slots=True)
+class Borrowed:
+    """What one lender gave, for question `ask`, until `end_us` of this broker's clock."""
+
+    ask: int
+    parts: int
+    end_us: int
+
+
+@dataclass(slots=True)
+class Pool:
+    """One budget, as this broker has it."""
+
+    base: int  # what is its own
+    hosts: int  # how many brokers use it
+    holds: bool = False  # whether this one does
+    need: int = 0  # of its own use, in parts
+    lent: dict[int, list[Loan]] = field(default_factory=dict)
+    borrowed: dict[int, Borrowed] = field(default_factory=dict)
+    users: set[int] = field(default_factory=set)  # others that said that they use it
+    asks: dict[int, int] = field(default_factory=dict)  # number -> when it was sent
+    released: int = 0  # answers up to this question are not taken any more
+    asked_us: int = 0
+    used_us: int = 0
+
+    @property
+    def floor(self) -> int:
+        return self.base // FLOOR
+
+    def out(self, now_us: int, but: int = -1) -> int:
+        """Parts that others may be using, as far as this broker can know."""
+        return sum(max((loan.parts for loan in loans if loan.end_us > now_us), default=0)
+                   for peer, loans in self.lent.items() if peer != but)
+
+    def prune(self, now_us: int) -> None:
+        """Forget what has ended."""
+        for peer, loans in list(self.lent.items()):
+            kept = [loan for loan in loans if loan.end_us > now_us]
+            if len(kept) > LOANS_MAX:
+                kept = [Loan(0, 0, max(one.parts for one in kept), max(one.end_us for one in kept))]
+            if kept:
+                self.lent[peer] = kept
+            else:
+                del self.lent[peer]
+        self.borrowed = {peer: one for peer, one in self.borrowed.items() if one.end_us > now_us}
+
+
+@dataclass(frozen=True, slots=True)
+class Slice:
+    """What this broker may use of a budget: `parts` until `until_us`, `after` from then on."""
+
+    parts: int
+    until_us: int
+    after: int
+
+
+class Ledger:
+    """All budgets of one broker."""
+
+    def __init__(self, me: int, life: int, first_ask: int, error_us: int, now_us: int) -> None:
+        self.me, self.life, self.error_us = me, life, error_us
+        self.pools: dict[Key, Pool] = {}
+        self.whole_us = now_us + SPAN_US + error_us  # from then on all loans made before this start are over
+        self._ask = first_ask
+        self.active: set[Key] = set()  # budgets whose slice may be another one soon
+        self.refused = 0  # for want of room
+
+    # What this broker has
+
+    def own(self, key: Key, base: int, hosts: int, holds: bool, now_us: int) -> Pool | None:
+        """The budget `key`, of which `base` is this broker's own; None where there is no room for it.
+
+        More hosts make the part smaller; it never grows again, since others may go by the smaller one."""
+        pool = self.pools.get(key)
+        self.active.add(key)
+        if pool is None:
+            if len(self.pools) >= POOLS_MAX:
+                self.refused += 1
+                return None
+            pool = self.pools[key] = Pool(base, hosts)
+        elif hosts > pool.hosts:
+            pool.base, pool.hosts = min(pool.base, base), hosts
+        pool.holds = pool.holds or holds
+        pool.used_us = now_us
+        return pool
+
+    def mine(self, pool: Pool, now_us: int) -> int:
+        """What is left of its own."""
+        left = max(0, pool.base - pool.out(now_us))
+        return left if now_us >= self.whole_us else min(left, pool.floor)
+
+    def extra(self, key: Key, pool: Pool, now_us: int) -> int:
+        """What the loans to this broker add up to.
+
+        Of a limit only those who use it have a part, and who uses it may not be known: then each that is not
+        known counts as a non-user as far as `hosts` allows, the largest loans first."""
+        held = {peer: one.parts for peer, one in pool.borrowed.items() if one.end_us > now_us}
+        if key[0] != Kind.LIMIT:
+            return sum(held.values())
+        others = pool.hosts - 1
+        if len(pool.users) >= others:
+            return sum(sorted(held.get(peer, 0) for peer in pool.users)[:others])
+        known = sum(held.get(peer, 0) for peer in pool.users)
+        rest = sorted(held.get(peer, 0) for peer in self._others if peer not in pool.users)
+        return known + sum(rest[: others - len(pool.users)])
+
+    _others: tuple[int, ...] = ()
+
+    def among(self, others: Iterable[int]) -> Ledger:
+        """Who else there is: the roster but for this broker."""
+        self._others = tuple(others)
+        return self
+
+    def slice(self, key: Key, now_us: int) -> Slice:
+        """What may be used of a budget that is kept."""
+        pool = self.pools[key]
+        mine = self.mine(pool, now_us)
+        ends = [one.end_us for one in pool.borrowed.values() if one.end_us > now_us]
+        return Slice(mine + self.extra(key, pool, now_us), min(ends, default=0), mine)
+
+    # Borrowing
+
+    def due(self, keys: Iterable[Key], now_us: int) -> list[Key]:
+        """Of these budgets, those to be asked for now: their own part is too small, and a question is due."""
+        return [key for key in keys if (pool := self.pools.get(key)) is not None
+                and pool.need > pool.base and pool.hosts > 1 and now_us - pool.asked_us >= ASK_US]
+
+    def ask(self, key: Key, now_us: int) -> Want:
+        """A question for what is missing; it is to leave at once."""
+        pool = self.pools[key]
+        self._ask += 1
+        pool.asks[self._ask] = pool.asked_us = now_us
+        while len(pool.asks) > ASKS_MAX:
+            del pool.asks[next(iter(pool.asks))]
+        return Want(key[0], key[1], min(255, pool.hosts), self._ask, max(0, pool.need), SPAN_US // 1000)
+
+    def lent_to_me(self, peer: int, told: Grant, now_us: int) -> bool:
+        """An answer. It counts from when its question was sent, replaces what the same lender gave for an
+        earlier one, and means nothing if it answers none that is open."""
+        pool = self.pools.get((told.kind, told.key))
+        if pool is None:
+            return False
+        if told.holds and told.kind == Kind.LIMIT:
+            pool.users.add(peer)
+        sent_us = pool.asks.get(told.ask)
+        before = pool.borrowed.get(peer)
+        if sent_us is None or told.ask <= pool.released or (before is not None and told.ask < before.ask):
+            return False
+        end_us = sent_us + SPAN_US
+        if end_us <= now_us or not told.parts:
+            pool.borrowed.pop(peer, None)
+            return before is not None
+        pool.borrowed[peer] = Borrowed(told.ask, told.parts, end_us)
+        self.active.add((told.kind, told.key))
+        return True
+
+    def give_back(self, key: Key) -> list[tuple[int, Item]]:
+        """Use nothing that is lent any more, first, and say so then."""
+        pool = self.pools[key]
+        if not pool.borrowed:
+            return []
+        peers, pool.borrowed = list(pool.borrowed), {}
+        pool.released = self._ask
+        pool.asks.clear()
+        return [(peer, Release(key[0], key[1], pool.released)) for peer in peers]
+
+    # Lending
+
+    def asked(self, peer: int, life: int, told: Want, now_us: int) -> Grant:
+        """Lend what is above the floor and not needed here; 0 says that nothing is."""
+        key = (told.kind, told.key)
+        none = Grant(told.kind, told.key, told.ask, 0, 0)
+        if told.kind not in (Kind.LIMIT, Kind.COLD, Kind.FURTHER) or told.span_ms * 1000 > SPAN_US:
+            return none
+        pool = self.pools.get(key)
+        if told.kind == Kind.LIMIT and told.hosts > 1 and (pool is None or not pool.holds):
+            # Not used here so far: one that may use it tomorrow can promise not to.
+            pool = self.own(key, WHOLE // told.hosts, told.hosts, False, now_us)
+        if pool is None or pool.hosts != told.hosts:
+            return none
+        pool.prune(now_us)
+        if now_us < self.whole_us:
+            return Grant(told.kind, told.key, told.ask, 0, pool.holds)
+        keep = max(pool.floor, min(pool.base, pool.need) if pool.holds else 0)
+        parts = min(told.parts, pool.base - keep - pool.out(now_us, peer))
+        if parts < min(LEAST, max(1, pool.base // 100)):
+            return Grant(told.kind, told.key, told.ask, 0, pool.holds)
+        self.active.add(key)
+        loans = pool.lent.setdefault(peer, [])
+        loans.append(Loan(life, told.ask, parts, now_us + told.span_ms * 1000 + self.error_us))
+        return Grant(told.kind, told.key, told.ask, parts, pool.holds)
+
+    def returned(self, peer: int, life: int, told: Release) -> bool:
+        """A borrower uses nothing of its questions up to `ask` any more."""
+        pool = self.pools.get((told.kind, told.key))
+        if pool is None or peer not in pool.lent:
+            return False
+        kept = [one for one in pool.lent[peer] if one.life != life or one.ask > told.ask]
+        changed = len(kept) != len(pool.lent[peer])
+        if kept:
+            pool.lent[peer] = kept
+        else:
+            del pool.lent[peer]
+        return changed
+
+    # Time
+
+    def settle(self, now_us: int) -> list[Key]:
+        """The budgets whose slice may be another one now. Only those with loans, either way, stay active, and
+        all of them while this incarnation has its floors alone."""
+        changed = list(self.active)
+        for key in changed:
+            pool = self.pools.get(key)
+            if pool is not None:
+                pool.prune(now_us)
+            if pool is None or (now_us >= self.whole_us and not pool.lent and not pool.borrowed):
+                self.active.discard(key)
+        return changed
+
+    def sweep(self, now_us: int, idle_us: int) -> list[Key]:
+        """Drop the budgets that nobody uses or has lent; a pool that owes nothing can be made again."""
+        gone = []
+        for key, pool in list(self.pools.items()):
+            pool.prune(now_us)
+            if not pool.lent and not pool.borrowed and now_us - pool.used_us > idle_us:
+                del self.pools[key]
+                gone.append(key)
+        return gone
--- /dev/null
+++ b/lemonridge/fleet/machine.py
@@ -0,0 +1,436 @@
+"""One broker's part in the fleet: membership, budgets and what is told of nodes, behind one door. Pure.
+
+`handle` takes a time and events, and returns actions in the order in which they must happen: a slice is
+lowered before the message that lends it leaves. Three hosts run it: the program on sockets (`net/peers.py`),
+the simulator's adapter, and the lab's model.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from lemonridge.fleet.demand import AHEAD, Rates
+from lemonridge.fleet.escrow import WHOLE, Key, Kind, Ledger, Slice
+from lemonridge.fleet.members import Members
+from lemonridge.fleet.roster import Roster
+from lemonridge.fleet.wire import (
+    DATAGRAM_MAX,
+    HEAD_BYTES,
+    TAG,
+    WRAP,
+    Ack,
+    Count,
+    Datagram,
+    Fact,
+    Flaw,
+    FlawError,
+    Grant,
+    Head,
+    Item,
+    Judge,
+    Ping,
+    PingFor,
+    Release,
+    State,
+    Tagger,
+    Want,
+    decode,
+    encode,
+    size,
+)  # fmt: skip
+
+TICK_US = 50_000  # while budgets are in use: how soon demand that moves is followed, against CPU
+STALL_US = 400_000  # a tick so much too late says that this process did not run
+IDLE_US = 30_000_000  # a budget that no one has used or lent for so long is dropped
+FAN = 8  # brokers that one question goes to at most: of more, those that use the budget, and some at random
+OLD_MS = 5_000  # a datagram sent longer ago, or so far ahead, is not taken
+WINDOW = 64  # numbers of one sender that are told from repeats
+READ_S = 500  # datagrams read in a second, at most
+BURST_S = 1.0  # bytes that may leave at once, in seconds of their budget
+RANK: dict[type[Item], int] = {Ack: 0, Ping: 1, PingFor: 1, Release: 2, Grant: 2, Want: 3, Fact: 4, Judge: 5,
+                               Count: 6}  # fmt: skip - the most useful first
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """What the operators or the platform's settings say."""
+
+    bytes_s: float = 8192.0  # that may leave, in a second
+    error_us: int = 50_000  # by which two clocks may differ over the span of a loan
+    further: bool = False  # whether further attempts have a budget of the fleet
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A datagram came from member `source`'s address; None: from an address that is no member's."""
+
+    source: int | None
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Woke:
+    """Time passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Chilled:
+    """A node's cold spell began: `rate` in units a second is this broker's own right there, until a time."""
+
+    name: str
+    key: int
+    shard: int
+    rate: float
+    until_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """This broker is about to end."""
+
+
+Event = Received | Woke | Chilled | Leaving
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Send a datagram to a member."""
+
+    to: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Sliced:
+    """What this broker may use of a budget, from this moment on."""
+
+    kind: Kind
+    key: int
+    slice: Slice
+    base: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Ask for `Woke` at a time; the last asked for is the only one."""
+
+    at_us: int
+
+
+Action = Tell | Sliced | Wake
+
+
+@dataclass(slots=True)
+class _Sender:
+    """What keeps one sender's datagrams from counting twice."""
+
+    life: int = 0
+    top: int = -1
+    seen: int = 0  # a bit for each of the WINDOW numbers up to `top`
+    behind_ms: int | None = None  # least of this clock less its, over all that came: bounds their difference
+
+
+@dataclass(slots=True)
+class _Cold:
+    """A cold spell under way."""
+
+    name: str
+    key: Key
+    shard: int
+    until_us: int
+
+
+class Fleet:
+    """One broker."""
+
+    def __init__(self, roster: Roster, life: int, seed: int, now_us: int, tuning: Tuning | None = None,
+                 tagger: Tagger | None = None) -> None:
+        """`life` is this start's time in Unix milliseconds: a later start of a name has a higher one."""
+        self.roster, self.tuning, self._tagger = roster, tuning or Tuning(), tagger
+        self._random = Random(f"{seed}/fleet")
+        self.members = Members(roster, life, seed, now_us)
+        self.ledger = Ledger(roster.me, life, self._random.randrange(1, 1 << 30), self.tuning.error_us,
+                             now_us).among(roster.others)  # fmt: skip
+        self.rates = Rates()
+        self.flaws: defaultdict[Flaw, int] = defaultdict(int)
+        self.counts: defaultdict[str, int] = defaultdict(int)
+        self._limits: dict[int, float] = {}  # of volumes in use, in units a second
+        self._cold: dict[int, _Cold] = {}  # by shard
+        self._told: dict[Key, Slice] = {}
+        self._senders = [_Sender() for _ in roster.names]
+        self._number = 0
+        self._room, self._room_us = self.tuning.bytes_s * BURST_S, now_us
+        self._reads, self._reads_us = 0, now_us
+        self._tick_us = self._swept_us = now_us
+        self._out: dict[int, list[Item]] = {}
+        self._wake_us: int | None = None
+        if self.tuning.further and roster.size > 1:
+            self.ledger.own((Kind.FURTHER, 0), WHOLE // roster.size, roster.size, True, now_us)
+
+    # What this broker sees itself
+
+    def taken(self, volume: int, limit: float, hosts: int, units: float, now_us: int) -> None:
+        """A request of a volume that has a limit, of so many units a second, was asked for."""
+        if hosts < 2:
+            return
+        key = (int(Kind.LIMIT), volume)
+        self._limits[volume] = limit
+        self.rates.add(key, units, now_us)
+        self.ledger.own(key, WHOLE // hosts, hosts, True, now_us)
+
+    def asked(self, shard: int, units: float, now_us: int) -> None:
+        """A request for a shard was asked for."""
+        if shard in self._cold:
+            self.rates.add(self._cold[shard].key, units, now_us)
+
+    def tried(self, now_us: int) -> None:
+        """A further attempt was wanted, made or not."""
+        self.rates.add((int(Kind.FURTHER), 0), 1.0, now_us)
+
+    # Events
+
+    def handle(self, now_us: int, events: Iterable[Event]) -> list[Action]:
+        """Take the events of one moment."""
+        actions: list[Action] = []
+        self._out = {}
+        if self._wake_us is not None and now_us - self._wake_us > STALL_US:
+            self.counts["stalls"] += 1
+            self.members.stalled(now_us)
+        for event in events:
+            if isinstance(event, Received):
+                self._received(event, now_us, actions)
+            elif isinstance(event, Chilled):
+                self._chilled(event, now_us)
+            elif isinstance(event, Leaving):
+                self._leave(now_us)
+        self._queue(self.members.tick(now_us))
+        if now_us >= self._tick_us:
+            self._tick_us = now_us + TICK_US
+            self._tick(now_us)
+        self._settle(now_us, actions)
+        self._flush(now_us, actions)
+        # The loans ended or given while this was told are in the slices above; the datagrams come behind.
+        wake = min(self.members.wake_us(), self._tick_us if self._busy() else now_us + 1_000_000)
+        self._wake_us = max(now_us + 1000, wake)
+        actions.append(Wake(self._wake_us))
+        return actions
+
+    def _busy(self) -> bool:
+        return bool(self.ledger.active or self._limits or self._cold or self.tuning.further)
+
+    def _chilled(self, event: Chilled, now_us: int) -> None:
+        key = (int(Kind.COLD), event.key)
+        base = int(event.rate * 1e6)
+        if self.roster.size > 1 and 0 < base < 1 << 31:
+            self._cold[event.shard] = _Cold(event.name, key, event.shard, event.until_us)
+            self.ledger.own(key, base, self.roster.size, True, now_us)
+
+    def _leave(self, now_us: int) -> None:
+        """What is lent to this broker goes back, and all hear that it leaves."""
+        self.members.announce(State.LEAVING)
+        for key in list(self.ledger.pools):
+            self._queue(self.ledger.give_back(key))
+        for who in self.members.up()[:FAN]:
+            self._queue([(who, Ping(0, self.roster.me))])  # no question: it only carries the head
+
+    # Datagrams that came
+
+    def _received(self, event: Received, now_us: int, actions: list[Action]) -> None:
+        try:
+            told = self._read(event, now_us)
+        except FlawError as error:
+            self.flaws[error.flaw] += 1
+            return
+        self.counts["datagrams.taken"] += 1
+        head = told.head
+        before, self._out = self._out, {}
+        self._queue(self.members.heard(head.sender, head.life, head.round, head.state, now_us))
+        for item in told.items:
+            self._item(head, item, now_us)
+        answers, others = self._out.pop(head.sender, []), self._out
+        self._out = before
+        for who, items in others.items():
+            self._queue([(who, item) for item in items])
+        self._settle(now_us, actions)  # what is lent is lowered before its message leaves
+        if answers:
+            # An answer is no longer than its question: nobody can make this broker send more than it gets.
+            self._send(head.sender, answers, now_us, actions, len(event.data))
+
+    def _read(self, event: Received, now_us: int) -> Datagram:
+        """A datagram that may count, once."""
+        if now_us - self._reads_us >= 1_000_000:
+            self._reads, self._reads_us = 0, now_us
+        self._reads += 1
+        if self._reads > READ_S:
+            raise FlawError(Flaw.OVERRUN)
+        if event.source is None:
+            raise FlawError(Flaw.ADDRESS)
+        told = decode(event.data, self.roster.mark, self._tagger)
+        head = told.head
+        if head.sender != event.source or head.sender == self.roster.me:
+            raise FlawError(Flaw.ADDRESS)
+        now_ms = now_us // 1000
+        ago_ms = (now_ms - head.sent_ms + WRAP // 2) % WRAP - WRAP // 2
+        if not -OLD_MS <= ago_ms <= OLD_MS:
+            raise FlawError(Flaw.OLD)
+        sender = self._senders[head.sender]
+        if head.life < sender.life:
+            raise FlawError(Flaw.OLD)
+        if head.life > sender.life:
+            self._senders[head.sender] = sender = _Sender(head.life)
+        ahead = head.number - sender.top
+        if ahead > 0:
+            sender.seen = (sender.seen << ahead | 1) & ((1 << WINDOW) - 1) if ahead < WINDOW else 1
+            sender.top = head.number
+        elif ahead <= -WINDOW or sender.seen >> -ahead & 1:
+            raise FlawError(Flaw.REPLAYED)
+        else:
+            sender.seen |= 1 << -ahead
+        if sender.behind_ms is None or ago_ms < sender.behind_ms:
+            sender.behind_ms = ago_ms
+        return told
+
+    def _item(self, head: Head, item: Item, now_us: int) -> None:
+        who = head.sender
+        if isinstance(item, (Ping, PingFor)):
+            self._queue(self.members.asked(who, item, now_us))
+        elif isinstance(item, Ack):
+            self._queue(self.members.answered(who, item))
+        elif isinstance(item, Fact):
+            self._queue(self.members.fact(who, item, now_us))
+        elif isinstance(item, Want):
+            grant = self.ledger.asked(who, head.life, item, now_us)
+            self.counts["loans.given" if grant.parts else "loans.refused"] += 1
+            self._queue([(who, grant)])
+        elif isinstance(item, Grant):
+            if self.ledger.lent_to_me(who, item, now_us) and item.parts:
+                self.counts["loans.taken"] += 1
+        elif isinstance(item, Release) and self.ledger.returned(who, head.life, item):
+            self.counts["loans.returned"] += 1
+
+    # Time
+
+    def _tick(self, now_us: int) -> None:
+        """Follow the demand: ask for what is missing, give back what is not needed."""
+        if now_us >= self.ledger.whole_us and self.members.state is State.JOINING:
+            self.members.announce(State.UP)
+        wanted: dict[int, list[Want]] = {}
+        for key in self.rates.known():
+            self._need(key, now_us)
+        for key in self.ledger.due(self.rates.known(), now_us):
+            want = self.ledger.ask(key, now_us)
+            for who in self._whom(key):
+                wanted.setdefault(who, []).append(want)
+        for who, wants in wanted.items():
+            self._queue([(who, want) for want in wants])
+        for shard, cold in list(self._cold.items()):
+            if now_us >= cold.until_us:
+                del self._cold[shard]
+                self.rates.forget(cold.key)
+        if now_us - self._swept_us > IDLE_US:
+            self._swept_us = now_us
+            for key in self.ledger.sweep(now_us, IDLE_US):
+                self._told.pop(key, None)
+                self.rates.forget(key)
+                if key[0] == Kind.LIMIT:
+                    self._limits.pop(key[1], None)
+
+    def _need(self, key: Key, now_us: int) -> None:
+        pool = self.ledger.pools.get(key)
+        if pool is None:
+            return
+        rate = self.rates.rate(key, now_us) * AHEAD
+        if key[0] == Kind.LIMIT:
+            limit = self._limits.get(key[1], 0.0)
+            pool.need = min(WHOLE, int(rate / limit * WHOLE)) if limit else 0
+        elif key[0] == Kind.COLD:
+            pool.need = min(pool.base * FAN, int(rate * 1e6 * COLD_TIMES))
+        else:
+            pool.need = WHOLE if rate > 0.5 else 0
+        if pool.need < pool.base:
+            self._queue(self.ledger.give_back(key))
+
+    def _whom(self, key: Key) -> list[int]:
+        """Whom to ask: those that use the budget, and others at random, up to FAN; all of a small fleet."""
+        others = [n for n in self.roster.others if self.members.members[n].state is not State.LEFT]
+        if len(others) <= FAN:
+            return others
+        pool = self.ledger.pools[key]
+        known = sorted(pool.users)[:FAN]
+        if key[0] == Kind.LIMIT and len(known) >= pool.hosts - 1:
+            return known
+        if key[0] != Kind.LIMIT:  # whoever lent once lends again, or the slices would wander
+            known = [n for n in pool.borrowed if n in others][:FAN]
+        rest = [n for n in others if n not in known]
+        return known + self._random.sample(rest, min(len(rest), FAN - len(known)))
+
+    def _settle(self, now_us: int, actions: list[Action]) -> None:
+        """Tell of each slice that is another one now."""
+        for key in self.ledger.settle(now_us):
+            pool = self.ledger.pools.get(key)
+            if pool is None or not pool.holds:
+                continue
+            now = self.ledger.slice(key, now_us)
+            if self._told.get(key) != now:
+                self._told[key] = now
+                actions.append(Sliced(Kind(key[0]), key[1], now, pool.base))
+
+    # Datagrams that leave
+
+    def _queue(self, items: Iterable[tuple[int, Item]]) -> None:
+        for who, item in items:
+            self._out.setdefault(who, []).append(item)
+
+    def _flush(self, now_us: int, actions: list[Action]) -> None:
+        for who, items in self._out.items():
+            self._send(who, items, now_us, actions, None)
+        self._out = {}
+
+    def _send(self, who: int, items: list[Item], now_us: int, actions: list[Action],
+              most: int | None) -> None:
+        """Pack items for one member, the most useful first; what finds no room in the budget is left out."""
+        frame = HEAD_BYTES + (TAG if self._tagger is not None else 0)
+        items.sort(key=lambda item: RANK[type(item)])
+        limit = DATAGRAM_MAX if most is None else min(most, DATAGRAM_MAX)
+        while items:
+            part: list[Item] = []
+            room = limit - frame
+            while items and size(items[0]) <= room:
+                room -= size(items[0])
+                part.append(items.pop(0))
+            if not part:
+                self.counts["items.left_out"] += len(items)
+                return
+            if most is None or room >= size(_FACT):
+                facts = self.members.facts(who, room // size(_FACT))
+                part += facts
+            if not self._afford(frame + sum(map(size, part)), now_us):
+                self.counts["items.left_out"] += len(part) + len(items)
+                return
+            self._number += 1
+            head = Head(self.roster.me, self.members.state, self.members.life, self.members.round,
+                        self._number, now_us // 1000 % WRAP)
+            data = encode(head, part, self.roster.mark, self._tagger)
+            self.counts["datagrams.sent"] += 1
+            self.counts["bytes.sent"] += len(data)
+            actions.append(Tell(who, data))
+            if most is not None:
+                if items:
+                    self.counts["items.left_out"] += len(items)
+                return
+
+    def _afford(self, count: int, now_us: int) -> bool:
+        rate = self.tuning.bytes_s
+        self._room = min(rate * BURST_S, self._room + rate * (now_us - self._room_us) / 1e6)
+        self._room_us = now_us
+        if self._room < count:
+            return False
+        self._room -= count
+        return True
+
+
+COLD_TIMES = 4  # a cold node is sent a quarter of a right at least: so much more of it is of use
+_FACT = Fact(0, 0, 0, 0)
--- /dev/null
+++ b/lemonridge/fleet/members.py
@@ -0,0 +1,307 @@
+"""Membership: who is up, suspected, dead, joining or leaving, each by number and incarnation. Pure.
+
+SWIM (Das, Gupta, Motivala, 2002): each period one member is asked, in a shuffled round (section 4.3), through
+others if it does not answer (3.1), suspected before it is held dead (4.2), and what is known rides on other
+datagrams (4.1). From Lifeguard (Dadgar, Phillips, Currey, 2018) come the local health, by which a broker that
+is slow itself gives others more time (IV-A), and suspicions that shorten with independent accusers (IV-B).
+Ours: what a member says itself goes before what others say, since links here are cut one way too; a member
+that accuses is told so at once (their buddy system, IV-C); a process that finds that it was stopped judges no
+one by what it missed; the roster is fixed, so the dead are asked on, seldom.
+
+Nothing is decided by this that is a right to anything: it says whom to ask first, and what to show.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import log
+from random import Random
+
+from lemonridge.fleet.roster import Roster
+from lemonridge.fleet.wire import Ack, Fact, Item, Ping, PingFor, State
+
+PERIOD_US = 500_000  # between two questions: time to detect against bytes
+DIRECT = 0.4  # part of a period until others are asked to ask
+HELPERS = 3  # who are asked to ask: SWIM's k
+HEALTH_MAX = 8  # Lifeguard's S: a slow broker gives others so many times as long
+SUSPECT_MIN = 4.0  # a suspicion lasts so many times log10 of the size, in periods (Lifeguard's alpha)
+SUSPECT_MAX = 3.0  # and at most so many times that (its beta)
+ACCUSERS = 3  # independent ones, after which it is as short as it gets
+TELLS = 4.0  # a fact is told so many times log2 of the size (SWIM's lambda)
+FACTS = 6  # on one datagram at most
+DEAD_EVERY = 4  # every so many periods one of the dead is asked
+LATE = 2.0  # a tick that comes so many periods late says that this process did not run
+ROUND_TOP = 255
+KNOWN = 1 << 30  # told often enough
+WATCHED = (State.JOINING, State.UP, State.LEAVING, State.SUSPECT)
+ALIVE = (State.JOINING, State.UP, State.LEAVING)
+
+
+@dataclass(slots=True)
+class Member:
+    """What this broker holds of one other."""
+
+    state: State = State.ABSENT
+    life: int = 0
+    round: int = 0
+    since_us: int = 0
+    heard_us: int = 0  # last from itself; 0 is never
+    suspect_us: int = 0  # when a suspicion ends in death
+    began_us: int = 0  # when it began
+    accusers: set[int] = field(default_factory=set)
+    told: int = 0  # how often its state has been told on since it changed
+    deaths: int = 0
+    cleared: int = 0  # suspicions and deaths that were wrong
+
+
+@dataclass(slots=True)
+class _Probe:
+    """One question and what became of it."""
+
+    nonce: int
+    who: int
+    began_us: int
+    indirect_us: int
+    end_us: int
+    helped: bool = False
+
+
+class Members:
+    """One broker's view of all. `handle` methods return the items to send, by member."""
+
+    def __init__(self, roster: Roster, life: int, seed: int, now_us: int) -> None:
+        self.roster, self.life, self.round, self.state = roster, life, 0, State.JOINING
+        self.members = [Member(since_us=now_us) for _ in roster.names]
+        self.health = 0
+        self.accused = self.stalls = 0
+        self.superseded = False  # another process has this one's name
+        self._random = Random(f"{seed}/members")
+        self._ring: list[int] = []
+        self._probe: _Probe | None = None
+        self._relays: dict[int, tuple[int, int, int]] = {}  # nonce -> who asked, its nonce, until when
+        self._nonce = self._random.randrange(1 << 16)
+        # A tier that starts together must not ask together.
+        self.next_us = now_us + int(PERIOD_US * self._random.uniform(0.5, 1.5))
+        self._period = 0
+
+    # What others are held to be
+
+    def up(self) -> tuple[int, ...]:
+        """Those that are not held dead, suspected ones too."""
+        return tuple(n for n in self.roster.others if self.members[n].state in WATCHED)
+
+    def announce(self, state: State) -> None:
+        """This broker changes its own state."""
+        if state is not self.state:
+            self.state = state
+            self._renew()
+
+    def heard(self, who: int, life: int, turn: int, state: State, now_us: int) -> list[tuple[int, Item]]:
+        """A datagram came from `who` itself: it overrules what others say of this incarnation."""
+        member = self.members[who]
+        member.heard_us = now_us
+        if (life, turn) < (member.life, member.round) and member.state is not State.ABSENT:
+            return []
+        wrong = member.life == life and member.state in (State.SUSPECT, State.DEAD)
+        out: list[tuple[int, Item]] = []
+        if wrong and turn <= member.round:  # it has not heard of it: others hold it so too
+            out.append((who, Fact(who, life, member.round, member.state)))
+        if wrong:
+            member.cleared += 1
+        if (member.life, member.round, member.state) != (life, turn, state):
+            self._set(who, state, life, turn, now_us)
+        return out
+
+    def fact(self, teller: int, told: Fact, now_us: int) -> list[tuple[int, Item]]:
+        """What another says of a member, this one perhaps."""
+        if not 0 <= told.who < self.roster.size:
+            return []
+        state = State(told.state) if told.state in State._value2member_map_ else State.ABSENT
+        if told.who == self.roster.me:
+            self._of_me(told, state)
+            return []
+        member = self.members[told.who]
+        if state is State.ABSENT or (told.life, told.round) < (member.life, member.round):
+            return []
+        newer = (told.life, told.round) > (member.life, member.round)
+        if state is State.SUSPECT and not newer and member.state is State.SUSPECT:
+            self._accuse(member, teller)
+            return []
+        if not newer and state <= member.state:
+            return []
+        if state is State.SUSPECT:
+            if now_us - member.heard_us < PERIOD_US and member.heard_us and told.life == member.life:
+                return [(teller, Fact(told.who, member.life, member.round, member.state))]
+            self._suspect(told.who, told.life, told.round, teller, now_us)
+        else:
+            self._set(told.who, state, told.life, told.round, now_us)
+        return []
+
+    def _of_me(self, told: Fact, state: State) -> None:
+        if told.life > self.life:
+            self.superseded = True
+        elif told.life == self.life and told.round >= self.round and state in (State.SUSPECT, State.DEAD):
+            self.accused += 1
+            self.health = min(HEALTH_MAX, self.health + 1)
+            self.round = max(self.round, told.round)
+            self._renew()
+
+    def _renew(self) -> None:
+        """A new round of this incarnation, told to all. Past the last one the incarnation itself goes up."""
+        self.round += 1
+        if self.round > ROUND_TOP:
+            self.life, self.round = self.life + 1, 0
+        self.members[self.roster.me].told = 0
+
+    def _set(self, who: int, state: State, life: int, turn: int, now_us: int) -> None:
+        member = self.members[who]
+        member.deaths += state is State.DEAD
+        if state is not member.state:
+            member.since_us = now_us
+        # That one is up which the roster names is no news: a tier that starts together tells nothing on.
+        member.told = KNOWN if member.state is State.ABSENT and state in ALIVE else 0
+        member.state, member.life, member.round = state, life, turn
+        member.accusers.clear()
+
+    def _suspect(self, who: int, life: int, turn: int, by: int, now_us: int) -> None:
+        member = self.members[who]
+        self._set(who, State.SUSPECT, life, turn, now_us)
+        member.began_us = now_us
+        self._accuse(member, by)
+
+    def _accuse(self, member: Member, by: int) -> None:
+        """One more accuser shortens the suspicion (Lifeguard, IV-B)."""
+        if by in member.accusers:
+            return
+        member.accusers.add(by)
+        member.told = min(member.told, 1)
+        least = SUSPECT_MIN * max(1.0, log(self.roster.size, 10)) * PERIOD_US
+        most = least * SUSPECT_MAX
+        part = log(len(member.accusers)) / log(ACCUSERS + 1) if len(member.accusers) > 1 else 0.0
+        member.suspect_us = member.began_us + int(max(least, most - (most - least) * min(1.0, part)))
+
+    # Questions
+
+    def asked(self, by: int, told: Ping | PingFor, now_us: int) -> list[tuple[int, Item]]:
+        """Answer; or ask another for a third, and remember whom to tell."""
+        if isinstance(told, Ping):
+            if told.who != self.roster.me:
+                return []
+            return [(by, Ack(told.nonce, self.roster.me))]
+        if told.who == self.roster.me or not 0 <= told.who < self.roster.size or len(self._relays) >= 64:
+            return []
+        nonce = self._next_nonce()
+        self._relays[nonce] = (by, told.nonce, now_us + 2 * PERIOD_US)
+        return [(told.who, Ping(nonce, told.who))]
+
+    def answered(self, by: int, told: Ack) -> list[tuple[int, Item]]:
+        """An answer, to this broker's own question or to one that it asked for another."""
+        relay = self._relays.pop(told.nonce, None) if told.who == by else None
+        if relay is not None:
+            return [(relay[0], Ack(relay[1], by))]
+        if self._probe is not None and (told.nonce, told.who) == (self._probe.nonce, self._probe.who):
+            self._probe = None
+            self.health = max(0, self.health - 1)
+        return []
+
+    def tick(self, now_us: int) -> list[tuple[int, Item]]:
+        """What is due: the next question, help with the last, suspicions that end."""
+        out: list[tuple[int, Item]] = []
+        if now_us - self.next_us > LATE * PERIOD_US:
+            self.stalled(now_us)
+        for who in self.roster.others:
+            member = self.members[who]
+            if member.state is State.SUSPECT and now_us >= member.suspect_us:
+                self._set(who, State.DEAD, member.life, member.round, now_us)
+        probe = self._probe
+        if probe is not None and now_us >= probe.end_us:
+            self._missed(probe, now_us)
+        elif probe is not None and not probe.helped and now_us >= probe.indirect_us:
+            probe.helped = True
+            out += [(who, PingFor(probe.nonce, probe.who)) for who in self._helpers(probe.who)]
+        self._relays = {nonce: one for nonce, one in self._relays.items() if one[2] > now_us}
+        if now_us >= self.next_us:
+            self.next_us = now_us + int(PERIOD_US * self._random.uniform(0.9, 1.1))
+            if self._probe is None:
+                out += self._question(now_us)
+        return out
+
+    def wake_us(self) -> int:
+        """When `tick` is due next."""
+        at = self.next_us
+        if self._probe is not None:
+            at = min(at, self._probe.end_us if self._probe.helped else self._probe.indirect_us)
+        ends = [m.suspect_us for m in self.members if m.state is State.SUSPECT]
+        return min([at, *ends])
+
+    def stalled(self, now_us: int) -> None:
+        """This process did not run for a while: what it did not hear meanwhile says nothing of others."""
+        self.stalls += 1
+        self._probe = None
+        self.health = min(HEALTH_MAX, self.health + 1)
+        for member in self.members:
+            if member.state is State.SUSPECT:
+                member.suspect_us = max(member.suspect_us, now_us + 2 * PERIOD_US)
+
+    def _question(self, now_us: int) -> list[tuple[int, Item]]:
+        who = self._next_target()
+        if who is None:
+            return []
+        times = 1 + self.health
+        self._probe = _Probe(self._next_nonce(), who, now_us, now_us + int(DIRECT * PERIOD_US * times),
+                             now_us + PERIOD_US * times)
+        out: list[tuple[int, Item]] = [(who, Ping(self._probe.nonce, who))]
+        member = self.members[who]
+        if member.state in (State.SUSPECT, State.DEAD):  # it should hear of it first of all (IV-C)
+            out.append((who, Fact(who, member.life, member.round, member.state)))
+        return out
+
+    def _next_target(self) -> int | None:
+        self._period += 1
+        gone = [n for n in self.roster.others if self.members[n].state not in WATCHED]
+        if gone and self._period % DEAD_EVERY == 0 or len(gone) == self.roster.size - 1:
+            return self._random.choice(gone) if gone else None
+        for _ in range(2):
+            while self._ring:
+                who = self._ring.pop()
+                if self.members[who].state in WATCHED:
+                    return who
+            self._ring = list(self.roster.others)
+            self._random.shuffle(self._ring)
+        return None
+
+    def _helpers(self, who: int) -> Iterable[int]:
+        able = [n for n in self.roster.others if n != who and self.members[n].state in ALIVE]
+        return self._random.sample(able, min(HELPERS, len(able)))
+
+    def _missed(self, probe: _Probe, now_us: int) -> None:
+        """No answer, not through others either."""
+        self._probe = None
+        member = self.members[probe.who]
+        if member.state in ALIVE:
+            self.health = min(HEALTH_MAX, self.health + 1)
+            # What came from it since the question says that it is there, whatever became of the answer.
+            if member.heard_us < probe.began_us:
+                self._suspect(probe.who, member.life, member.round, self.roster.me, now_us)
+        elif member.state is State.SUSPECT:
+            self._accuse(member, self.roster.me)
+
+    def _next_nonce(self) -> int:
+        self._nonce = (self._nonce + 1) % (1 << 16)
+        return self._nonce
+
+    # What rides on other datagrams
+
+    def facts(self, to: int, most: int) -> list[Fact]:
+        """The least told facts of members that changed; each is told some times and then no more."""
+        times = TELLS * max(1.0, log(self.roster.size + 1, 2))
+        fresh = [n for n in self.roster.others
+                 if n != to and self.members[n].state is not State.ABSENT and self.members[n].told < times]
+        fresh.sort(key=lambda n: (self.members[n].told, n))
+        out = []
+        for who in fresh[: min(most, FACTS)]:
+            member = self.members[who]
+            member.told += 1
+            out.append(Fact(who, member.life, member.round, member.state))
+        return out
--- /dev/null
+++ b/lemonridge/fleet/wire.py
@@ -0,0 +1,260 @@
+"""The datagram between brokers: at most 256 bytes, each standing alone, checked whole before it counts.
+
+A head names the version, the roster, the sender with its incarnation, a number and the sender's time; items
+follow, of a fixed length each by their type. CRC32C (RFC 3720, B.4) covers all of it; where the operators
+gave a secret, a keyed tag (BLAKE2s, RFC 7693) goes behind, and without it nothing is believed. What cannot be
+read to its last byte is worth nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+from struct import Struct
+from struct import error as StructError  # noqa: N812 - it is the module's name for it
+from typing import ClassVar, Protocol
+
+import crc32c
+
+DATAGRAM_MAX = 256  # bytes: PROTOCOL, "Between brokers"
+VERSION = 0xB1  # of the layout below; another one is not read
+TAG = 8  # bytes of the keyed tag
+_HEAD = Struct("<BBHHQBII")  # version, state, roster, sender, life, round, number, sent
+_CHECK = Struct("<I")
+HEAD_BYTES = _HEAD.size + _CHECK.size
+WRAP = 1 << 32  # of numbers and of times in milliseconds
+
+
+class State(IntEnum):
+    """What a member is held to be. Of one incarnation and round, the higher one overrules."""
+
+    ABSENT = 0  # never heard of
+    JOINING = 1  # up, and not yet in possession of all that is its own
+    UP = 2
+    LEAVING = 3
+    SUSPECT = 4
+    DEAD = 5
+    LEFT = 6
+
+
+class Flaw(Enum):
+    """Why a datagram was not taken."""
+
+    SHORT = "short"
+    VERSION = "version"
+    CHECKSUM = "checksum"
+    FORGED = "forged"  # no tag, or a wrong one
+    ROSTER = "roster"
+    ADDRESS = "address"  # it does not come from where its sender is
+    MALFORMED = "malformed"
+    OLD = "old"  # of an incarnation that is over, or sent too long ago
+    REPLAYED = "replayed"
+    OVERRUN = "overrun"  # more than are read in a second
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Are you there, `who`? `nonce` comes back. Filled up, so that an answer with a word on how its sender is
+    held is no longer than the question."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<HH13x")
+    nonce: int
+    who: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """Member `who` is there."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<HH")
+    nonce: int
+    who: int
+
+
+@dataclass(frozen=True, slots=True)
+class PingFor:
+    """Ask member `who` for me, and pass its answer on (SWIM, section 3.1: ping-req)."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<HH")
+    nonce: int
+    who: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fact:
+    """What the sender holds member `who` to be, of one incarnation."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<HQBB")
+    who: int
+    life: int
+    round: int
+    state: int
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """Lend me `parts` of budget `kind`/`key` for `span_ms` from when I sent this; `hosts` is how many share
+    it, `ask` this question's number, which is never used again by this incarnation."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<BQBIIH")
+    kind: int
+    key: int
+    hosts: int
+    ask: int
+    parts: int
+    span_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Lent for question `ask`: `parts`, perhaps 0. `holds` says whether the giver uses the budget itself."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<BQIIB")
+    kind: int
+    key: int
+    ask: int
+    parts: int
+    holds: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Nothing that was lent for questions up to `ask` is used any more, nor will be."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<BQI")
+    kind: int
+    key: int
+    ask: int
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """All that `who` (in its incarnation `life`) has counted of `kind`/`key` so far, in thousandths."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<BQHQQ")
+    kind: int
+    key: int
+    who: int
+    life: int
+    total: int
+
+
+@dataclass(frozen=True, slots=True)
+class Judge:
+    """What the sender has seen itself of a node, `age_ms` ago, on `weight` observations."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<QBBH")
+    node: int
+    what: int
+    weight: int
+    age_ms: int
+
+
+Item = Ping | Ack | PingFor | Fact | Want | Grant | Release | Count | Judge
+KINDS: tuple[type[Item], ...] = (Ping, Ack, PingFor, Fact, Want, Grant, Release, Count, Judge)
+_CODES = {kind: code for code, kind in enumerate(KINDS, 1)}
+_FIELDS = {kind: tuple(kind.__slots__) for kind in KINDS}
+
+
+def size(item: Item) -> int:
+    """Its bytes in a datagram."""
+    return 1 + item.LAYOUT.size
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Who says it, and when, in milliseconds of its own clock."""
+
+    sender: int
+    state: State
+    life: int
+    round: int
+    number: int
+    sent_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """One that was read whole."""
+
+    head: Head
+    items: tuple[Item, ...]
+
+
+class FlawError(Exception):
+    """A datagram that is not taken."""
+
+    def __init__(self, flaw: Flaw) -> None:
+        super().__init__(flaw.value)
+        self.flaw = flaw
+
+
+class Tagger(Protocol):
+    """The keyed tag of some bytes, and whether a tag is that; both need a library that only an operator's
+    file loads."""
+
+    def tag(self, data: bytes) -> bytes: ...
+
+    def holds(self, data: bytes, tag: bytes) -> bool: ...
+
+
+def encode(head: Head, items: Iterable[Item], mark: int, tagger: Tagger | None = None) -> bytes:
+    """The bytes; ValueError past DATAGRAM_MAX."""
+    parts = [_HEAD.pack(VERSION, head.state, mark, head.sender, head.life, head.round,
+                        head.number % WRAP, head.sent_ms % WRAP)]  # fmt: skip
+    for item in items:
+        kind = type(item)
+        parts.append(bytes((_CODES[kind],)))
+        parts.append(item.LAYOUT.pack(*(getattr(item, name) for name in _FIELDS[kind])))
+    body = b"".join(parts)
+    data = _CHECK.pack(crc32c.crc32c(body)) + body
+    if tagger is not None:
+        data += tagger.tag(data)
+    if len(data) > DATAGRAM_MAX:
+        raise ValueError(f"a datagram of {len(data)} bytes")
+    return data
+
+
+def decode(data: bytes, mark: int, tagger: Tagger | None = None) -> Datagram:
+    """The datagram of some bytes; FlawError says what is wrong with them. The checksum comes first: of bytes
+    that were spoilt on the way nothing else can be said."""
+    tag = TAG if tagger is not None else 0
+    if not HEAD_BYTES + tag <= len(data) <= DATAGRAM_MAX:
+        raise FlawError(Flaw.SHORT)
+    if data[_CHECK.size] != VERSION:
+        raise FlawError(Flaw.VERSION)
+    body = data[_CHECK.size : len(data) - tag]
+    if crc32c.crc32c(body) != _CHECK.unpack_from(data)[0]:
+        raise FlawError(Flaw.CHECKSUM)
+    if tagger is not None and not tagger.holds(data[:-tag], data[-tag:]):
+        raise FlawError(Flaw.FORGED)
+    _, state, told, sender, life, turn, number, sent = _HEAD.unpack_from(body)
+    if told != mark:
+        raise FlawError(Flaw.ROSTER)
+    items: list[Item] = []
+    at = _HEAD.size
+    try:
+        while at < len(body):
+            kind = KINDS[body[at] - 1] if body[at] else None
+            if kind is None:
+                raise FlawError(Flaw.MALFORMED)
+            items.append(kind(*kind.LAYOUT.unpack_from(body, at + 1)))
+            at += 1 + kind.LAYOUT.size
+        head = Head(sender, State(state), life, turn, number, sent)
+    except (IndexError, ValueError, StructError):
+        raise FlawError(Flaw.MALFORMED) from None
+    return Datagram(head, tuple(items))
+
+
+def pack(items: Iterable[Item], room: int = DATAGRAM_MAX - HEAD_BYTES) -> list[list[Item]]:
+    """Items in their order in as few datagrams as hold them, `room` bytes of items in each."""
+    made: list[list[Item]] = []
+    left = 0
+    for item in items:
+        if size(item) > left:
+            made.append([])
+            left = room
+        made[-1].append(item)
+        left -= size(item)
+    return made
--- a/lemonridge/iscsi/config.py
+++ b/lemonridge/iscsi/config.py
@@ -194,6 +194,7 @@
             free_resends=0.0,
             extra_ratio=0.0,
             key_rest_us=0,
+            further_rate=0.0,
         ),
         plans=names,
         luns=luns,
--- /dev/null
+++ b/lemonridge/lab/checkers/escrow.py
@@ -0,0 +1,276 @@
+"""The fleet's budgets, held against their invariant in every state of a small fleet.
+
+Three brokers run the real `Ledger` on two budgets: one that all three use, and one that two use and the third
+may lend of without using it. Moves: a broker asks another; gives back; a message comes, comes twice, or is
+lost; time passes by a third of a loan's span; a clock loses as much as the stated error; a broker dies and
+starts again knowing nothing. A stop (SIGSTOP) is a broker that makes no move while time passes: that is in.
+Times in a key are relative to now, so that the search ends by itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterable
+from dataclasses import dataclass, replace
+
+from lemonridge.fleet.escrow import SPAN_US, WHOLE, Borrowed, Key, Kind, Ledger, Loan, Pool
+from lemonridge.fleet.wire import Grant, Item, Release, Want
+from lemonridge.lab.checkers.exhaust import Found, explore
+
+STEP_US = SPAN_US // 3
+START_US = 1_000 * STEP_US
+BROKERS = 3
+ALL_USE, TWO_USE = (int(Kind.LIMIT), 1), (int(Kind.LIMIT), 2)
+HOSTS = {ALL_USE: 3, TWO_USE: 2}
+USERS = {ALL_USE: (0, 1, 2), TWO_USE: (0, 1)}
+
+Make = Callable[[int, int, int], Ledger]  # number, life, now: a ledger, perhaps one with a planted fault
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How much of each may happen in all."""
+
+    asks: int = 3
+    flights: int = 2  # messages on their way at once
+    doubles: int = 1
+    crashes: int = 1
+    lags: int = 1  # clocks that lose the stated error
+    budgets: tuple[Key, ...] = (ALL_USE, TWO_USE)
+
+
+@dataclass(frozen=True)
+class Message:
+    source: int
+    to: int
+    life: int  # of its sender
+    item: Item
+
+
+@dataclass
+class State:
+    """Everything; `left` counts down the bounds."""
+
+    now_us: int
+    ledgers: tuple[Ledger, ...]
+    lags: tuple[int, ...]
+    flights: tuple[Message, ...]
+    asks: int
+    doubles: int
+    crashes: int
+    slow: int
+
+
+def ledger(number: int, life: int, now_us: int) -> Ledger:
+    """The real one; a clock may lose as much as a step."""
+    return Ledger(number, life, life * 100, STEP_US, now_us).among(n for n in range(BROKERS) if n != number)
+
+
+def search(bounds: Bounds, make: Make = ledger, states_max: int = 5_000_000) -> Found[State]:
+    """Every state within the bounds, or the shortest way to one in which a budget is passed."""
+    ledgers = tuple(_begun(make(number, 1, START_US - 10 * SPAN_US), START_US, bounds)
+                    for number in range(BROKERS))  # fmt: skip
+    start = State(START_US, ledgers, (0,) * BROKERS, (), bounds.asks, bounds.doubles, bounds.crashes,
+                  bounds.lags)  # fmt: skip
+    return explore(start, _key, lambda state: _moves(state, bounds, make), _wrong, states_max)
+
+
+def _begun(made: Ledger, now_us: int, bounds: Bounds) -> Ledger:
+    """Each user has had a request."""
+    for key in bounds.budgets:
+        if made.me in USERS[key]:
+            made.own(key, WHOLE // HOSTS[key], HOSTS[key], True, now_us)
+    return made
+
+
+def _clock(state: State, number: int) -> int:
+    return state.now_us - state.lags[number] * STEP_US
+
+
+def _wrong(state: State) -> str:
+    for key, users in USERS.items():
+        parts = [state.ledgers[n].slice(key, _clock(state, n)).parts
+                 for n in users if key in state.ledgers[n].pools]  # fmt: skip
+        if sum(parts) > WHOLE:
+            return f"{sum(parts)} parts of budget {key[1]} are in use: {parts}"
+    return ""
+
+
+def _moves(state: State, bounds: Bounds, make: Make) -> Iterable[tuple[str, State]]:
+    yield "time passes", replace(state, now_us=state.now_us + STEP_US)
+    for number in range(BROKERS):
+        if state.slow and not state.lags[number]:
+            lags = tuple(lag + (n == number) for n, lag in enumerate(state.lags))
+            yield f"clock {number} loses a step", replace(state, lags=lags, slow=state.slow - 1)
+        if state.crashes:
+            life = state.ledgers[number].life + 1
+            fresh = _begun(make(number, life, _clock(state, number)), _clock(state, number), bounds)
+            yield f"{number} starts anew", replace(
+                state, ledgers=_with(state, number, fresh), crashes=state.crashes - 1)
+        yield from _asks(state, number, bounds)
+        for key in bounds.budgets:
+            pool = state.ledgers[number].pools.get(key)
+            if pool is not None and pool.borrowed:
+                made = clone(state.ledgers[number])
+                sent = [Message(number, to, made.life, item) for to, item in made.give_back(key)]
+                if len(state.flights) + len(sent) <= bounds.flights:
+                    flights = _sorted(state.flights + tuple(sent))
+                    yield f"{number} gives budget {key[1]} back", replace(
+                        state, ledgers=_with(state, number, made), flights=flights)
+    for place, message in enumerate(state.flights):
+        rest = state.flights[:place] + state.flights[place + 1 :]
+        name = f"{type(message.item).__name__} of {message.source} to {message.to}"
+        yield f"{name} is lost", replace(state, flights=rest)
+        came = _deliver(state, message, rest, bounds)
+        if came is not None:
+            yield f"{name} comes", came
+        if state.doubles:
+            twice = _deliver(state, message, state.flights, bounds)
+            if twice is not None:
+                yield f"{name} comes, and will come again", replace(twice, doubles=state.doubles - 1)
+
+
+def _asks(state: State, number: int, bounds: Bounds) -> Iterable[tuple[str, State]]:
+    if not state.asks or len(state.flights) >= bounds.flights:
+        return
+    for key in bounds.budgets:
+        if number not in USERS[key]:
+            continue
+        for to in range(BROKERS):
+            if to == number:
+                continue
+            made = clone(state.ledgers[number])
+            made.pools[key].need = WHOLE
+            want = made.ask(key, _clock(state, number))
+            made.pools[key].need = 0  # nobody keeps more than its floor: the most is lent
+            sent = Message(number, to, made.life, want)
+            yield f"{number} asks {to} for budget {key[1]}", replace(
+                state, ledgers=_with(state, number, made), flights=_sorted((*state.flights, sent)),
+                asks=state.asks - 1)
+
+
+def _deliver(state: State, message: Message, rest: tuple[Message, ...], bounds: Bounds) -> State | None:
+    made, now_us = clone(state.ledgers[message.to]), _clock(state, message.to)
+    if isinstance(message.item, Want):
+        grant = made.asked(message.source, message.life, message.item, now_us)
+        if len(rest) >= bounds.flights:
+            return None
+        rest = _sorted((*rest, Message(message.to, message.source, made.life, grant)))
+    elif isinstance(message.item, Grant):
+        made.lent_to_me(message.source, message.item, now_us)
+    elif isinstance(message.item, Release):
+        made.returned(message.source, message.life, message.item)
+    return replace(state, ledgers=_with(state, message.to, made), flights=rest)
+
+
+def _with(state: State, number: int, made: Ledger) -> tuple[Ledger, ...]:
+    return state.ledgers[:number] + (made,) + state.ledgers[number + 1 :]
+
+
+def _sorted(flights: tuple[Message, ...]) -> tuple[Message, ...]:
+    return tuple(sorted(flights, key=lambda one: (one.source, one.to, repr(one.item))))
+
+
+def clone(made: Ledger) -> Ledger:
+    """A copy that shares nothing that changes; of the same class, faults included."""
+    other = object.__new__(type(made))
+    other.__dict__.update(made.__dict__)
+    other.active = set()
+    other.pools = {
+        key: Pool(pool.base, pool.hosts, pool.holds, pool.need,
+                  {who: list(rows) for who, rows in pool.lent.items()},
+                  dict(pool.borrowed), set(pool.users), dict(pool.asks), pool.released, pool.asked_us, 0)
+        for key, pool in made.pools.items()}  # fmt: skip
+    return other
+
+
+def _key(state: State) -> Hashable:
+    """Times relative to each broker's clock, and nothing of what is over."""
+    return (tuple(_seen(state.ledgers[n], _clock(state, n)) for n in range(BROKERS)), state.lags,
+            tuple((m.source, m.to, m.life, m.item) for m in state.flights),
+            state.asks, state.doubles, state.crashes, state.slow)  # fmt: skip
+
+
+def _seen(made: Ledger, now_us: int) -> Hashable:
+    return (made.life, made._ask, max(0, made.whole_us - now_us), tuple(
+        (key, pool.base, pool.holds, pool.released, tuple(sorted(pool.users)),
+         tuple(sorted((who, _loan(row, now_us)) for who, rows in pool.lent.items() for row in rows
+                      if row.end_us > now_us)),
+         tuple(sorted((who, one.ask, one.parts, one.end_us - now_us) for who, one in pool.borrowed.items()
+                      if one.end_us > now_us)),
+         tuple((ask, now_us - at) for ask, at in pool.asks.items() if now_us - at < SPAN_US))
+        for key, pool in sorted(made.pools.items())))  # fmt: skip
+
+
+def _loan(row: Loan, now_us: int) -> tuple[int, int, int, int]:
+    return row.life, row.ask, row.parts, row.end_us - now_us
+
+
+class LendsUnlowered(Ledger):
+    """Planted: what is lent stays in the lender's own slice."""
+
+    def mine(self, pool: Pool, now_us: int) -> int:
+        return pool.base
+
+
+class KeepsForEver(Ledger):
+    """Planted: a loan's end is not kept by the borrower."""
+
+    def lent_to_me(self, peer: int, told: Grant, now_us: int) -> bool:
+        done = super().lent_to_me(peer, told, now_us)
+        for pool in self.pools.values():
+            pool.borrowed = {who: Borrowed(one.ask, one.parts, one.end_us + 10 * SPAN_US)
+                             for who, one in pool.borrowed.items()}  # fmt: skip
+        return done
+
+
+class NoMargin(Ledger):
+    """Planted: the lender counts on equal clocks."""
+
+    def asked(self, peer: int, life: int, told: Want, now_us: int) -> Grant:
+        self.error_us = 0
+        return super().asked(peer, life, told, now_us)
+
+
+class FromReceipt(Ledger):
+    """Planted: the borrower counts a loan from when the answer came."""
+
+    def lent_to_me(self, peer: int, told: Grant, now_us: int) -> bool:
+        pool = self.pools.get((told.kind, told.key))
+        if pool is not None and told.ask in pool.asks:
+            pool.asks[told.ask] = now_us
+        return super().lent_to_me(peer, told, now_us)
+
+
+class ForgetsItsLoans(Ledger):
+    """Planted: a fresh start believes that it has lent nothing."""
+
+    def __init__(self, me: int, life: int, first_ask: int, error_us: int, now_us: int) -> None:
+        super().__init__(me, life, first_ask, error_us, now_us)
+        self.whole_us = now_us
+
+
+class TakesReturned(Ledger):
+    """Planted: an answer to a question is taken though its loan was given back."""
+
+    def give_back(self, key: Key) -> list[tuple[int, Item]]:
+        asks = dict(self.pools[key].asks)
+        sent = super().give_back(key)
+        self.pools[key].asks, self.pools[key].released = asks, 0
+        return sent
+
+
+class CountsAll(Ledger):
+    """Planted: loans of brokers that do not use the budget count like those of users."""
+
+    def extra(self, key: Key, pool: Pool, now_us: int) -> int:
+        return sum(one.parts for one in pool.borrowed.values() if one.end_us > now_us)
+
+
+PLANTED: tuple[type[Ledger], ...] = (LendsUnlowered, KeepsForEver, NoMargin, FromReceipt, ForgetsItsLoans,
+                                     TakesReturned, CountsAll)
+
+
+def planted(kind: type[Ledger]) -> Make:
+    """Ledgers with a fault, for `search`."""
+    return lambda number, life, now_us: kind(number, life, life * 100, STEP_US, now_us).among(
+        n for n in range(BROKERS) if n != number)
--- a/lemonridge/lab/measure/decisions.py
+++ b/lemonridge/lab/measure/decisions.py
@@ -25,7 +25,7 @@
         cold_units=8.0, tip_multiple=2.5, tells_elsewhere=False, meter_us=0, max_attempts=4, may_cancel=True,
         max_backoff_us=500_000, tick_us=2_000, ask_within_us=0, cold_share=0.2, ramp_us=17_000_000,
         fall_us=1_000_000, drain_grace_us=500_000, look_back_us=0, free_resends=0.0, extra_ratio=0.0,
-        key_rest_us=0)
+        key_rest_us=0, further_rate=0.0)
 
 
 def cost_us(nodes: int, seed: int, new_share: float = 0.3, requests: int = 20_000) -> float:
--- a/lemonridge/lab/model/world.py
+++ b/lemonridge/lab/model/world.py
@@ -152,7 +152,7 @@
             tells_elsewhere=False, meter_us=0, max_attempts=4, may_cancel=True, max_backoff_us=500_000,
             tick_us=s.tick_us, ask_within_us=0, cold_share=s.nodes.cold_share,
             ramp_us=int(s.nodes.ramp_s * 1e6), fall_us=int(s.nodes.fall_s * 1e6), drain_grace_us=500_000,
-            look_back_us=0, free_resends=0.0, extra_ratio=0.0, key_rest_us=0)
+            look_back_us=0, free_resends=0.0, extra_ratio=0.0, key_rest_us=0, further_rate=0.0)
 
     def _volumes(self) -> list[Volume]:
         draw, plans = self.streams["volumes"], self.scenario.plans
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -12,13 +12,14 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from heapq import heappop, heappush
-from math import exp
 from operator import attrgetter
 
 from lemonridge.api import (
     Action, Arrived, Cancel, ClassInfo, Condition, Configured, Ended, Entry, Event, Fail, Gone, Group, Listed,
-    ListKind, Moved, Plan, Refuse, Result, Semantics, Send, Settings, Started, Subscribe, Wake, Why,
+    Budget, Chilled, ListKind, Moved, Plan, Refuse, Result, Semantics, Send, Settings, Sliced, Started,
+    Subscribe, Wake, Why,
 )  # fmt: skip
+from lemonridge.stores import Regular, Share, Store, Usual
 
 # Tuned values; each says what it trades. None belongs to one deployment.
 CYCLE_US = 10_000  # Gage's cycle: shorter reacts sooner to a refill, longer costs less CPU
@@ -33,7 +34,6 @@
 SILENCE = 4.0  # times the usual answer time without a word: suspect; lower takes pauses for failures
 PROBE_US = 500_000  # a suspect node gets one request this often
 DOWN_US = 1_000_000  # not reached for so long: it restarted; shorter takes a reset connect for that
-USUAL_US = 10_000_000  # memory of this host's usual traffic to a shard: lasting against moving with the lead
 COLD_PART = 0.5  # part of what tips the coldest node over that all hosts use: speed against chance
 COLD_LOW = 1.5  # that part grows once a node is so many times as warm as the coldest: chance against speed
 COLD_RUNS = 4.0  # a host saves up this part of all hosts' mean at a cold node: use against chance
@@ -46,8 +46,6 @@
 RETRY_US = 20_000  # first pause before a further attempt, doubled for each later one
 ASK_US = 250_000  # first pause after a failed call for the list, doubled up to the limit below
 ASK_TOP_US = 8_000_000  # where the settings do not say how often to ask
-NEVER_US = 1 << 62  # a time that does not come
-EPSILON = 1e-6  # keeps sums of fractions below a limit that must not be passed
 
 _tag, _due, _worth = attrgetter("tag"), attrgetter("due"), attrgetter("cls.worth")
 UNRUN = frozenset((Result.FULL, Result.UNREACHED, Result.MOOT, Result.MOVED))  # these prove that it never ran
@@ -86,63 +84,18 @@
 class Volume:
     """A volume's queue: its lanes, its balance and its slice of a limit."""
 
-    def __init__(self, plan: Plan, hosts: int, born_us: int, now: int, settings: Settings) -> None:
-        self.plan, self.hosts, self.settings = plan, max(1, hosts), settings
+    def __init__(self, born_us: int, flow: float, now: int, settings: Settings) -> None:
+        self.plan, self.hosts, self.settings = settings.plans[0], 0, settings
         self.lanes: dict[int, Lane] = {}
         self.waiting = 0
         self.balance, self.credited_us, self.told_us = 0.0, now, 0
-        # A restart cannot be told from a first start, so the bucket is empty at the host's own
-        # start, not at the volume's first request: killing a host never mints a fresh burst.
-        self.level, self.filled_us, self.flow = 0.0, born_us, 1.0
-        self.undrawn = 0.0
-        self.seen_us = now
-        self.regular, self.regular_us = settings.units_top, now
-
-    def fill(self, now: int) -> float:
-        """The bucket's level: this host's even slice of the limit, so the sum holds unaided. After a handover
-        what was kept ebbs as the successor's fills: a store that is full would else fill on in two places."""
-        top = (self.plan.burst + self.plan.slack) / self.hosts
-        self.level += self.flow * self.plan.limit / self.hosts * (now - self.filled_us) / 1e6
-        self.level, self.filled_us = max(0.0, min(top, self.level)), now
-        return self.level
-
-    def inside(self, units: float, now: int) -> float:
-        """How much of what is asked for now is inside the rate that the volume is sized for."""
-        rate, past = self.plan.base_rate, (now - self.regular_us) / 1e6
-        level = min(self.settings.units_top + CREDIT_S * rate, self.regular + rate * past)
-        part = min(units, level)
-        self.regular, self.regular_us = level - part, now
-        return part
-
-    def wait_us(self, units: float, now: int) -> int:
-        """How long until the bucket holds `units`."""
-        lack = (units + EPSILON - self.fill(now)) * self.hosts / self.plan.limit
-        return 0 if lack <= 0 else int(lack * 1e6) + 1 if self.flow > 0 else NEVER_US
-
-
-class Usual:
-    """What this host was served at one shard, fading while its node is warm; before, what was asked of it."""
-
-    def __init__(self, born_us: int) -> None:
-        self.units, self.span_us, self.at_us = 0.0, 0.0, born_us
-        self.frozen = self.served = False
-
-    def fade(self, to_us: int) -> None:
-        if to_us > self.at_us:
-            if not self.frozen:
-                kept = exp((self.at_us - to_us) / USUAL_US)
-                self.units *= kept
-                self.span_us = self.span_us * kept + USUAL_US * (1 - kept)
-            self.at_us = to_us
-
-    def add(self, units: float, now: int) -> None:
-        self.frozen = False
-        self.fade(now)
-        self.units += units
-
-    def rate(self) -> float:
-        """Units a microsecond."""
-        return self.units / max(self.span_us, USUAL_US / 10)
+        self.store, self.undrawn = Store(born_us, flow), 0.0  # from the host's start, not the first request
+        self.seen_us, self.regular = now, Regular(settings.units_top, now)
+
+    def go_by(self, plan: Plan, hosts: int, settings: Settings, now: int) -> None:
+        """Its plan and how many hosts it works through, from now on; what it has saved up stays."""
+        self.store.size(now, plan.limit, plan.burst + plan.slack, hosts, hosts != self.hosts)
+        self.plan, self.hosts, self.settings = plan, hosts, settings
 
 
 class Node:
@@ -161,6 +114,7 @@
         self.heard_us = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
         self.cold_units, self.cold_level, self.cold_rate, self.cold_us, self.warm = 0.0, 0.0, 0.0, 0, 1.0
+        self.share = Share(1.0)  # of what is this host's own at a cold node, with what others lend
 
     def usual(self) -> float:
         return self.lag + self.dev  # with its spread
@@ -194,6 +148,7 @@
         # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
         self.tightest = min(cls.aim_us for cls in settings.classes)
         self.longest = [0] * len(settings.classes)  # longest wait seen granted, by class
+        self.further = Store(0)
         self.taken: deque[int] = deque()
         self.resends: deque[int] = deque()
         self.ask_pause = ASK_US
@@ -209,7 +164,8 @@
         """Take the events of one moment and decide."""
         self.now, self.actions = now_us, []
         if self.born is None:
-            self.born = self.swept_us = now_us
+            self.born = self.swept_us = self.further.filled_us = now_us
+            self._size_further(True)
             if self.settings.asks_list:
                 self.actions.append(Subscribe())
         for event in events:
@@ -227,6 +183,8 @@
                 self._moved(event)
             elif isinstance(event, Configured):
                 self._configured(event.settings)
+            elif isinstance(event, Sliced):
+                self._sliced(event)
         self.wake_us = None if self.wake_us is not None and self.wake_us <= now_us else self.wake_us
         if self.rings and now_us >= self.cycle_us:  # not at every timer: there is one for each attempt
             self.cycle_us = now_us + CYCLE_US
@@ -243,23 +201,44 @@
         """Hand the limits over: half of what is saved goes, the rest is for what is held; nothing refills."""
         self.flow, given = -1.0, {}
         for name, v in self.volumes.items():
-            given[name] = max(0.0, v.fill(self.now) - v.undrawn) / 2
-            v.level, v.flow = v.level - given[name], self.flow
+            given[name] = max(0.0, v.store.fill(self.now) - v.undrawn) / 2
+            v.store.level, v.store.flow = v.store.level - given[name], self.flow
         return given
 
     def take(self, now_us: int, levels: Mapping[int, float]) -> None:
         """Be the one whose limits fill, from now on and from these levels."""
         self.born, self.flow, self.levels = now_us, 1.0, dict(levels)
         for name, v in self.volumes.items():
-            v.level, v.filled_us, v.flow = v.level + self.levels.pop(name, 0.0), now_us, self.flow
+            v.store.level += self.levels.pop(name, 0.0)
+            v.store.filled_us, v.store.flow = now_us, self.flow
 
     def _configured(self, settings: Settings) -> None:
         """Go by new settings. What is held keeps the class it came with; a volume takes its new plan with
         its next request, which alone tells it."""
-        self.settings = settings
+        self.settings, hosts = settings, self.settings.hosts
         self.tightest = min(cls.aim_us for cls in settings.classes)
         self.longest = [0] * len(settings.classes)
         self.start = WINDOW_START if settings.hosts <= FEW else WINDOW_MIN
+        self._size_further(settings.hosts != hosts)
+
+    def _size_further(self, even: bool) -> None:
+        rate, hosts = self.settings.further_rate, self.settings.hosts
+        self.further.size(self.now, rate, max(rate, hosts), hosts, even)
+
+    def _sliced(self, event: Sliced) -> None:
+        """Another slice of what hosts share, since a moment ago: until then the one before counts."""
+        part, since = (event.part, event.until_us, event.after), event.since_us
+        if event.budget is Budget.LIMIT and (volume := self.volumes.get(int(event.name))):
+            volume.store.tell(since, *part)
+            for lane in volume.lanes.values():
+                if lane.parked:
+                    self._ring(lane)
+        elif event.budget is Budget.COLD and (node := self.nodes.get(str(event.name))):
+            self._cold(node)
+            node.share.tell(*part)
+            self.touched.update({node.shard: None, -1: None})
+        elif event.budget is Budget.FURTHER:
+            self.further.tell(since, *part)
 
     def _arrived(self, event: Arrived) -> None:
         s, cls = self.settings, self.settings.classes[event.cls]
@@ -268,13 +247,11 @@
             self.taken.popleft()
         volume = self.volumes.get(event.volume)
         if volume is None:
-            volume = Volume(s.plans[event.plan], event.hosts, self.born or 0, self.now, s)
-            self.volumes[event.volume], volume.flow = volume, self.flow
-            volume.level = self.levels.pop(event.volume, 0.0)
-        elif volume.settings is not s:  # what it has saved up stays, under the new top
-            volume.fill(self.now)
-            volume.plan, volume.settings = s.plans[event.plan], s
-        volume.hosts, volume.seen_us = max(volume.hosts, event.hosts), self.now
+            volume = self.volumes[event.volume] = Volume(self.born or 0, self.flow, self.now, s)
+            volume.store.level = self.levels.pop(event.volume, 0.0)
+        if volume.settings is not s or max(1, event.hosts) > volume.hosts:
+            volume.go_by(s.plans[event.plan], max(1, volume.hosts, event.hosts), s, self.now)
+        volume.seen_us = self.now
         # A client's repeat shows in that less than the longest wait is left: its aim is as old as
         # its first try, so it must not push back requests that can still be on time.
         left = event.deadline_us - self.now
@@ -284,7 +261,7 @@
         self._timer(r.deadline, "deadline", r)
         # Over the limit: nothing that is asked beyond it can be sent in time, so the client hears
         # at once. It also keeps a surge from filling the lanes with requests that only wait to die.
-        wait = volume.wait_us(volume.undrawn + r.units, self.now) if volume.plan.limit else 0
+        wait = volume.store.wait_us(volume.undrawn + r.units, self.now) if volume.plan.limit else 0
         if wait > max(0, r.due - self.now):
             self._give_up(r, Why.LIMIT)
             return
@@ -330,7 +307,7 @@
         self.lost.discard(key)
         self._observe(node, event, r, sent_us)
         if event.result is Result.MOOT and r.sent == 1 and r.drawn:
-            r.drawn, r.volume.level = False, r.volume.level + r.units  # a moot send draws nothing
+            r.drawn, r.volume.store.level = False, r.volume.store.level + r.units  # a moot send draws nothing
             r.volume.undrawn += r.units
         if event.result not in UNRUN and r.ran_node is None:
             r.ran_node, r.ran_us = node, sent_us
@@ -438,6 +415,8 @@
             away = {Group.CELL: node and node.shard != ran.shard, Group.ZONE: node and node.zone != ran.zone}
             if away.get(group):
                 return False
+        if r.sent and s.further_rate and self.further.fill(self.now) < 1.0:
+            return False
         if r.sent and s.look_back_us:
             old = self.now - s.look_back_us
             for marks, start in ((self.resends, old), (self.taken, old + 1)):
@@ -456,7 +435,7 @@
 
     def _advice(self, r: Request) -> int:
         """When the client should come back: once the limit has room and the node is usual again."""
-        wait = r.volume.wait_us(r.units, self.now) if r.volume.plan.limit else PROBE_US
+        wait = r.volume.store.wait_us(r.units, self.now) if r.volume.plan.limit else PROBE_US
         return min(self.settings.max_backoff_us, max(wait, PROBE_US))
 
     def _finish(self, r: Request) -> None:
@@ -467,7 +446,9 @@
             self.requests.pop(r.id, None)
             if not r.drawn:
                 r.volume.undrawn = max(0.0, r.volume.undrawn - r.units)
-            part, usual = r.volume.inside(r.units, self.now), self.usual[r.shard]
+            v, usual = r.volume, self.usual[r.shard]
+            rate = v.plan.base_rate
+            part = v.regular.inside(r.units, self.now, rate, v.settings.units_top + CREDIT_S * rate)
             if not usual.served:  # at its end: a request must not make room for itself at a cold node
                 usual.add(part, self.now)
         self._free_key(r)
@@ -577,7 +558,7 @@
         r, volume = max(lane.line, key=_worth), lane.volume
         if self._cold_wait(node, r):
             return 0.0
-        if volume.plan.limit and not r.drawn and (wait := volume.wait_us(r.units, self.now)):
+        if volume.plan.limit and not r.drawn and (wait := volume.store.wait_us(r.units, self.now)):
             self._park(lane, node, wait)
             return 0.0
         if not self._may_send(r, node):
@@ -603,9 +584,11 @@
             r.drawn = True
             volume.undrawn = max(0.0, volume.undrawn - r.units)
             if volume.plan.limit:
-                volume.level = volume.fill(self.now) - r.units
+                volume.store.draw(r.units, self.now)
         if r.sent and s.look_back_us:
             self.resends.append(self.now)
+        if r.sent and s.further_rate:
+            self.further.draw(1.0, self.now)
         self._debit(volume, r.units)
         if node.born_us is not None:
             node.cold_sends.append((self.now, r.units))
@@ -705,6 +688,16 @@
         node.born_us, node.cold_us, node.window = born_us, self.now, self.start
         node.unreached = node.probes = node.probe_us = 0  # from here on the cold guard paces it
         node.cold_level = -(self.settings.units_mean or self.settings.units_top) * self.random.random()
+        node.share = Share(1.0)
+        until_us = born_us + self.settings.ramp_us
+        self.actions.append(Chilled(node.id, node.shard, born_us, self._right(node) * 1e6, until_us))
+
+    def _right(self, node: Node) -> float:
+        """What a warm node would get from this host, in units a microsecond: its usual traffic there, or an
+        even part of half of what a core serves, for those whom the lead has just come to."""
+        s = self.settings
+        even = COLD_PART * s.units_mean / self.pace / s.hosts if self.pace else 0.0
+        return max(self.usual[node.shard].rate(), even)
 
     def _cold(self, node: Node) -> bool:
         """Whether a node is cold; this host's bucket there is brought up to date.
@@ -723,11 +716,10 @@
         aged = max(0, self.now - node.born_us - s.fall_us) / s.ramp_us
         node.warm = warm = s.cold_share + (1 - s.cold_share) * aged  # at least, a stretch of the rule ago
         part = min(1.0, COLD_PART * max(1.0, warm / (COLD_LOW * s.cold_share or 1.0))) * s.tip_multiple * warm
-        # An even part of half of what a core of a warm node serves: for those whom the lead has just come to.
-        even = COLD_PART * s.units_mean / self.pace / s.hosts if self.pace else 0.0
-        node.cold_rate = max(self.usual[node.shard].rate(), even) * part
+        right = self._right(node) * part
+        node.cold_rate = right * node.share.now(self.now)
         top = node.cold_rate * s.fall_us * s.hosts / COLD_RUNS if s.hosts > FEW else 0.0
-        node.cold_level = min(top, node.cold_level + node.cold_rate * (self.now - node.cold_us))
+        node.cold_level = min(top, node.cold_level + right * node.share.span(node.cold_us, self.now))
         node.cold_us = self.now
         return True
 
@@ -822,8 +814,7 @@
         self.swept_us = self.now
         for name, volume in list(self.volumes.items()):
             idle = self.now - volume.seen_us > IDLE_US and not volume.waiting and not volume.undrawn
-            top = (volume.plan.burst + volume.plan.slack) / volume.hosts
-            if idle and (not volume.plan.limit or volume.fill(self.now) >= top):
+            if idle and (not volume.plan.limit or volume.store.fill(self.now) >= volume.store.top):
                 del self.volumes[name]
 
     def _ask_wake(self) -> None:
--- a/lemonridge/settings.py
+++ b/lemonridge/settings.py
@@ -97,6 +97,7 @@
         free_resends=rules.get("free-resends") or 0.0,
         extra_ratio=rules.get("extra-ratio") or 0.0,
         key_rest_us=rules.get("key-rest-us") or 0,
+        further_rate=0.0,
     )
 
 
--- a/lemonridge/simhost.py
+++ b/lemonridge/simhost.py
@@ -165,7 +165,7 @@
             actions = self.instances[who].handle(now, events)
         except Exception as error:  # the wire wants a broken policy reported, whatever broke
             return [["fault", who, f"{type(error).__name__}: {error}"]]
-        return [_order(who, action) for action in actions]
+        return [_order(who, action) for action in actions if not isinstance(action, api.Chilled)]
 
 
 def run(source: TextIO, sink: TextIO) -> None:
--- /dev/null
+++ b/lemonridge/stores.py
@@ -0,0 +1,121 @@
+"""What the decisions keep count with: stores that fill at a rate, and rates that fade."""
+
+from __future__ import annotations
+
+from math import exp
+
+NEVER_US = 1 << 62  # a time that does not come
+EPSILON = 1e-6  # keeps sums of fractions below a limit that must not be passed
+USUAL_US = 10_000_000  # memory of a host's usual traffic to a shard: lasting against moving with the lead
+
+
+class Share:
+    """A host's part of what all hosts have together: `part` until `until_us`, `after` from then on.
+
+    The end stands in the share itself, so that a host which hears nothing more, or did not run for a while,
+    goes by it as soon as it counts again."""
+
+    __slots__ = ("part", "until_us", "after")
+
+    def __init__(self, part: float) -> None:
+        self.part, self.until_us, self.after = part, 0, part
+
+    def tell(self, part: float, until_us: int, after: float) -> None:
+        self.part, self.until_us, self.after = part, until_us, after
+
+    def now(self, at_us: int) -> float:
+        return self.part if at_us < self.until_us else self.after
+
+    def span(self, from_us: int, to_us: int) -> float:
+        """The part added up over a time, in microseconds."""
+        before = max(0, min(to_us, self.until_us) - from_us)
+        return self.part * before + self.after * (to_us - from_us - before)
+
+
+class Store:
+    """A store of units, for all hosts of which each fills a share of it.
+
+    It starts empty: a restart cannot be told from a first start, and killing a host must never mint a fresh
+    burst. What it holds at most is an even part for each host, whatever the shares of its rate are: so the
+    sum of what all hosts have saved up is held without a word between them, and only rates move."""
+
+    __slots__ = ("level", "filled_us", "flow", "share", "rate", "top")
+
+    def __init__(self, born_us: int, flow: float = 1.0) -> None:
+        self.level, self.filled_us, self.flow, self.share = 0.0, born_us, flow, Share(1.0)
+        self.rate, self.top = 0.0, -1.0  # no size yet
+
+    def size(self, now: int, rate: float, top: float, hosts: int, even: bool) -> None:
+        """Go by `rate` units a second and `top` units for all of `hosts` from now on; `even` is their shares,
+        until others are told."""
+        if self.top >= 0:  # at its first size what came in since its birth is still to come
+            self.fill(now)
+        self.rate, self.top = rate, top / hosts
+        if even:
+            self.share = Share(1 / hosts)
+
+    def fill(self, now: int) -> float:
+        """The level. A store that was handed over has a flow of -1: what was kept ebbs as the successor's
+        fills, since a store that is full would else fill on in two places."""
+        self.level += self.flow * self.rate * self.share.span(self.filled_us, now) / 1e6
+        self.level, self.filled_us = max(0.0, min(self.top, self.level)), now
+        return self.level
+
+    def tell(self, since: int, part: float, until_us: int, after: float) -> None:
+        """Another share since a moment ago: until then the one before counts."""
+        self.fill(max(since, self.filled_us))
+        self.share.tell(part, until_us, after)
+
+    def draw(self, units: float, now: int) -> None:
+        """Take units out, which may leave a debt until it fills again."""
+        self.level = self.fill(now) - units
+
+    def wait_us(self, units: float, now: int) -> int:
+        """How long until the store holds `units`, at the share of now and then at the one after."""
+        lack, share = (units + EPSILON - self.fill(now)) * 1e6, self.share
+        if lack <= 0:
+            return 0
+        soon = self.rate * share.part * max(0, share.until_us - now)
+        if self.flow <= 0 or (soon < lack and share.after * self.rate <= 0):
+            return NEVER_US
+        if soon >= lack:
+            return int(lack / (self.rate * share.part)) + 1
+        return max(0, share.until_us - now) + int((lack - soon) / (self.rate * share.after)) + 1
+
+
+class Regular:
+    """The part of what is asked for that lies inside a rate, with so much saved up."""
+
+    def __init__(self, saved: float, now: int) -> None:
+        self.level, self.at_us = saved, now
+
+    def inside(self, units: float, now: int, rate: float, top: float) -> float:
+        level = min(top, self.level + rate * (now - self.at_us) / 1e6)
+        part = min(units, level)
+        self.level, self.at_us = level - part, now
+        return part
+
+
+class Usual:
+    """What this host was served at one shard, fading while its node is warm; before, what was asked of it."""
+
+    def __init__(self, born_us: int) -> None:
+        self.units, self.span_us, self.at_us = 0.0, 0.0, born_us
+        self.frozen = self.served = False
+
+    def fade(self, to_us: int) -> None:
+        if to_us > self.at_us:
+            if not self.frozen:
+                kept = exp((self.at_us - to_us) / USUAL_US)
+                self.units *= kept
+                self.span_us = self.span_us * kept + USUAL_US * (1 - kept)
+            self.at_us = to_us
+
+    def add(self, units: float, now: int) -> None:
+        self.frozen = False
+        self.fade(now)
+        self.units += units
+
+    def rate(self) -> float:
+        """Units a microsecond."""
+        return self.units / max(self.span_us, USUAL_US / 10)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,6 +40,7 @@
     free_resends=0.0,
     extra_ratio=0.0,
     key_rest_us=100_000,
+    further_rate=0.0,
 )
 START = 50_000_000
 
--- /dev/null
+++ b/tests/test_fleet_escrow.py
@@ -0,0 +1,150 @@
+"""The fleet's budgets: every state of a small fleet, random histories of larger ones, planted faults."""
+
+from __future__ import annotations
+
+import unittest
+import unittest.mock
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+import lemonridge.fleet.escrow as escrow_module
+from lemonridge.fleet.escrow import SPAN_US, WHOLE, Kind, Ledger
+from lemonridge.fleet.wire import Grant, Release, Want
+from lemonridge.lab.checkers import escrow
+from lemonridge.lab.checkers.escrow import ALL_USE, PLANTED, TWO_USE, Bounds, planted, search
+
+TIGHT = {"KeepsForEver": Bounds(1, doubles=0, crashes=0, lags=0), "NoMargin": Bounds(1, doubles=0, crashes=0),
+         "FromReceipt": Bounds(1, doubles=0, crashes=0, lags=0),
+         "TakesReturned": Bounds(1, crashes=0, lags=0)}  # fmt: skip
+
+
+class EveryState(unittest.TestCase):
+    """Three brokers, two budgets; docs/fleet-state.md tells the larger bounds, which a command runs."""
+
+    def test_no_state_passes_a_budget(self) -> None:
+        for bounds in (Bounds(1, doubles=0), Bounds(1, crashes=0, lags=0, budgets=(TWO_USE,)),
+                       Bounds(2, flights=1, doubles=0, crashes=0, budgets=(TWO_USE,))):  # fmt: skip
+            found = search(bounds)
+            self.assertEqual((found.broken, found.whole), ("", True), found.path)
+            self.assertGreater(found.states, 1000)
+
+    def test_each_planted_fault_is_found(self) -> None:
+        for kind in PLANTED:
+            found = search(TIGHT.get(kind.__name__, Bounds(1, doubles=0)), planted(kind))
+            self.assertTrue(found.broken, kind.__name__)
+            self.assertLess(len(found.path), 12)
+
+
+class Histories(unittest.TestCase):
+    """Larger fleets, long histories: loss, doubling, long delays, restarts, clocks that run apart."""
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(seed=st.integers(0, 1 << 32), brokers=st.integers(2, 9), hosts=st.integers(2, 5))
+    def test_the_sum_never_passes_the_whole(self, seed: int, brokers: int, hosts: int) -> None:
+        random, hosts = Random(seed), min(brokers, hosts)
+        users = random.sample(range(brokers), hosts)
+        error_us, now = 50_000, 1_000_000_000
+        lags = [random.randrange(10**9) for _ in range(brokers)]  # clocks need not agree at all
+        drift = [random.uniform(1 - 0.015, 1.015) for _ in range(brokers)]  # 3% of a span is the stated error
+        begun = now - 10 * SPAN_US
+
+        def clock(n: int) -> int:
+            return lags[n] + int((now - begun) * drift[n])
+
+        def make(n: int, life: int) -> Ledger:
+            made = Ledger(n, life, random.randrange(1 << 20), error_us, clock(n))
+            made.among(o for o in range(brokers) if o != n)
+            if n in users:
+                made.own(key, WHOLE // hosts, hosts, True, clock(n))
+            return made
+
+        key, most = (int(Kind.LIMIT), 7), 0
+        ledgers = [make(n, 1) for n in range(brokers)]
+        flights: list[tuple[int, int, int, Want | Grant | Release]] = []
+        now += 3 * SPAN_US
+        for _ in range(400):
+            now += random.choice((0, 1000, 50_000, 400_000))
+            n = random.randrange(brokers)
+            what = random.random()
+            if what < 0.3 and n in users:
+                ledgers[n].pools[key].need = random.choice((0, WHOLE // 2, WHOLE))
+                want = ledgers[n].ask(key, clock(n))
+                flights += [(n, o, ledgers[n].life, want) for o in range(brokers) if o != n]
+            elif what < 0.33 and n in users:
+                flights += [(n, to, ledgers[n].life, item) for to, item in ledgers[n].give_back(key)]
+            elif what < 0.36:
+                ledgers[n] = make(n, ledgers[n].life + 1)
+            for _ in range(random.randrange(8)):
+                if not flights:
+                    break
+                place = random.randrange(len(flights))
+                by, to, life, item = flights[place]
+                if random.random() < 0.8:
+                    del flights[place]
+                if random.random() < 0.2:
+                    continue
+                if isinstance(item, Want):
+                    grant = ledgers[to].asked(by, life, item, clock(to))
+                    flights.append((to, by, ledgers[to].life, grant))
+                elif isinstance(item, Grant):
+                    ledgers[to].lent_to_me(by, item, clock(to))
+                else:
+                    ledgers[to].returned(by, life, item)
+            del flights[:-40]
+            parts = [ledgers[u].slice(key, clock(u)).parts for u in users]
+            most = max(most, *parts)
+            self.assertLessEqual(sum(parts), WHOLE, parts)
+            for u in users:
+                self.assertGreaterEqual(parts[users.index(u)], WHOLE // hosts // 10)
+
+
+class OneLedger(unittest.TestCase):
+    """What one broker does."""
+
+    def pair(self, hosts: int = 2) -> tuple[Ledger, Ledger]:
+        made = [escrow.ledger(n, 1, 0) for n in range(2)]
+        for one in made:
+            one.own(TWO_USE, WHOLE // hosts, hosts, True, 0)
+            one.error_us = 50_000
+        return made[0], made[1]
+
+    def test_a_fresh_start_lends_nothing_and_has_its_floor(self) -> None:
+        a, b = self.pair()
+        self.assertEqual(a.slice(TWO_USE, 10).parts, WHOLE // 20)
+        self.assertEqual(b.asked(0, 1, a.ask(TWO_USE, 10), 10).parts, 0)
+        self.assertEqual(a.slice(TWO_USE, a.whole_us).parts, WHOLE // 2)
+
+    def test_a_lender_keeps_what_it_needs_and_its_floor(self) -> None:
+        a, b = self.pair()
+        now = a.whole_us
+        a.pools[TWO_USE].need = WHOLE
+        self.assertEqual(b.asked(0, 1, a.ask(TWO_USE, now), now).parts, WHOLE // 2 - WHOLE // 20)
+        b.pools[TWO_USE].need = WHOLE // 4
+        self.assertEqual(b.asked(0, 1, a.ask(TWO_USE, now), now).parts, WHOLE // 4)
+        self.assertEqual(b.slice(TWO_USE, now).parts, WHOLE // 20)  # the largest loan counts, not the latest
+
+    def test_a_question_with_other_hosts_changes_nothing_of_what_is_used(self) -> None:
+        a, b = self.pair()
+        now = a.whole_us
+        told = b.asked(0, 1, Want(*TWO_USE, 200, 7, WHOLE, 1500), now)
+        self.assertEqual((told.parts, b.slice(TWO_USE, now).parts), (0, WHOLE // 2))
+
+    def test_loans_beyond_a_number_count_as_the_largest_and_longest(self) -> None:
+        a, b = self.pair()
+        now = a.whole_us
+        a.pools[TWO_USE].need = WHOLE
+        for step in range(40):
+            b.asked(0, 1, a.ask(TWO_USE, now + step), now + step)
+        self.assertLessEqual(len(b.pools[TWO_USE].lent[0]), 9)
+        self.assertEqual(b.slice(TWO_USE, now + SPAN_US + 50_030).parts, WHOLE // 20)
+        self.assertEqual(b.slice(TWO_USE, now + SPAN_US + 50_040).parts, WHOLE // 2)
+
+    def test_budgets_have_a_bound_and_the_idle_ones_go(self) -> None:
+        a, _ = self.pair()
+        with unittest.mock.patch.object(escrow_module, "POOLS_MAX", 2):
+            self.assertIsNotNone(a.own(ALL_USE, 1, 3, True, 0))
+            self.assertIsNone(a.own((1, 99), 1, 3, True, 0))
+        self.assertEqual(a.refused, 1)
+        self.assertEqual(sorted(a.sweep(100, 50)), [ALL_USE, TWO_USE])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -279,10 +279,10 @@
     rig.ask(1, plan=1)
     volume = rig.policy.volumes[1]
     rig.end("r1")
-    volume.plan = api.Plan(10.0, 5.0, 1.0, 0.01, 40.0, 4.0)
+    volume.go_by(api.Plan(10.0, 5.0, 1.0, 0.01, 40.0, 4.0), volume.hosts, volume.settings, rig.now)
     rig.pass_time(70_000_000, step=1_000_000)
     assert 1 in rig.policy.volumes
-    volume.plan = SETTINGS.plans[1]
+    volume.go_by(SETTINGS.plans[1], volume.hosts, volume.settings, rig.now)
     rig.pass_time(40_000_000, step=1_000_000)
     assert 1 not in rig.policy.volumes
 
@@ -290,11 +290,11 @@
 def test_only_the_first_send_that_is_not_moot_draws(rig: Rig) -> None:
     rig.now += 10_000_000
     name = rig.ask(1, plan=1, units=4.0)
-    level = rig.policy.volumes[1].level
+    level = rig.policy.volumes[1].store.level
     rig.end(name, Result.FULL)
     rig.pass_time(100_000)
     assert (name, 1) in rig.policy.flights
-    assert rig.policy.volumes[1].fill(rig.now) >= level
+    assert rig.policy.volumes[1].store.fill(rig.now) >= level
 
 
 # Nodes and the list
@@ -817,7 +817,7 @@
     waits = rig.ask(plan=1, units=8.0)
     volume = rig.policy.volumes[1]
     assert volume.lanes[0].parked
-    volume.level -= 30.0  # as a refund that is taken back
+    volume.store.level -= 30.0  # as a refund that is taken back
     seen = rig.pass_time(400_000)
     assert finals(seen) == {waits: api.Refuse} and not volume.waiting and not volume.lanes[0].line
 
