Let brokers speak: datagrams on sockets, slices in the decisions, a rig that cuts links

The decider shows it each request of a limited volume before the decisions see it, since the volume's slice may be lent already. lab/rig.py starts N brokers before disk nodes that keep logs and a discovery each; every ordered pair has its own stretch of network, with faults drawn from a seed or read from TOML. checkers/fleet.py judges by nodes and clients alone.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -67,12 +67,20 @@
         nonlocal platform
         old, platform = platform, new
         made.decider.configure(new.settings)
+        if made.peers is not None:
+            made.peers.configure(new.settings)
         front.configure(new)
         nodes.configure(new.connect_us, new.keepalive_us)
         if (new.discovery, new.zones) != (old.discovery, old.zones):
             watch()
 
     made.configure = configure
+    if platform.fleet is not None and platform.speaks:
+        from lemonridge.net.peers import Peers  # else nothing of it is loaded
+
+        made.peers = Peers(platform.fleet, made.decider, made.clock, made.counters, platform.seed, settings)
+        made.endings.append(made.peers.stop)
+        made.watch(made.peers.start(), "peers")
     front.bind(platform.listen, platform.passed)
     desk = Desk(made, front, life)
     if platform.admin is not None:
--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -7,6 +7,7 @@
 import os
 import sys
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lemonridge import __version__, config, logs
@@ -23,6 +24,10 @@
 
         operators = load(options.config)
     platform = None if operators and "ROUTER_CONFIG" not in os.environ else config.load()
+    if platform is not None and options.peers:
+        if platform.fleet is None:
+            raise config.ConfigError("--peers: ROUTER_CONFIG names none, or its settings allow no messages")
+        platform = replace(platform, speaks=True)
     return platform, operators
 
 
@@ -129,6 +134,8 @@
     serve.set_defaults(run=_serve)
     check = commands.add_parser("check-config", help="read the configuration, say what it holds")
     for command in (serve, check):
+        command.add_argument("--peers", action="store_true",
+                             help="speak to the peers of ROUTER_CONFIG, where its settings allow messages")
         command.add_argument("--config", metavar="FILE", help="an operator's file: the iSCSI front")
     check.set_defaults(run=_check_config)
     schema = commands.add_parser("schema", help="print the JSON Schema of the operator's file")
--- a/lemonridge/config.py
+++ b/lemonridge/config.py
@@ -14,6 +14,7 @@
 from lemonridge.settings import SettingsError, names, settings_from
 
 SOCKETS, MEMORY_MB = 1024, 192  # where no limit is told
+PEERS_MAX = 256  # brokers of a tier that speak to each other; past it none does
 NAMED = ("name", "listen", "discovery")  # the keys of the file that a variable can go before
 
 
@@ -39,6 +40,20 @@
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """This broker among its peers: the roster with what each one's address is from here."""
+
+    names: tuple[str, ...]
+    me: int
+    listen: Address
+    addresses: tuple[Address, ...]
+    bytes_s: float = 8192.0
+    error_us: int = 50_000
+    secret: bytes = b""
+    further_rate: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Platform:
     """One broker of the platform."""
@@ -60,6 +75,8 @@
     known: Mapping[str, Any]
     filed: Mapping[str, Any]  # the keys that have a variable, as the file itself has them
     admin: Address | None = None  # where operators call; None: nowhere
+    fleet: FleetPlan | None = None  # its peers: those that it names where messages are allowed, or the file's
+    speaks: bool = False  # whether it speaks to them
     passed: int | None = None  # the descriptor of the clients' listening socket, where it is handed down
 
 
@@ -125,7 +142,9 @@
     """The new configuration of a program that runs: where it listens stays as it is."""
     if (platform.name, platform.listen) != (before.name, before.listen):
         raise ConfigError("'name' and 'listen' change at a start only")
-    return replace(platform, admin=before.admin, passed=before.passed)
+    return replace(platform, admin=before.admin, passed=before.passed,
+                   fleet=before.fleet, speaks=before.speaks,
+                   settings=replace(platform.settings, further_rate=before.settings.further_rate))
 
 
 def _platform(told: dict[str, Any], seed: int, filed: Mapping[str, Any]) -> Platform:
@@ -155,4 +174,20 @@
         shards=int(_told(facts["family-info"], "n-shards")),
         known=known if isinstance(known, dict) else {},
         filed=filed,
+        fleet=_fleet(told, facts, settings.hosts),
     )
+
+
+def _fleet(told: dict[str, Any], facts: dict[str, Any], hosts: int) -> FleetPlan | None:
+    """The peers of the platform (DEPLOY, "What a broker is told"), where the settings allow messages to them:
+    one address for each broker of the tier, in the order of their numbers."""
+    peers, me = told.get("peers"), facts.get("me")
+    if not facts["limits"].get("peers") or not told.get("peer_listen") or not isinstance(peers, list):
+        return None
+    if not isinstance(me, int) or isinstance(me, bool) or not 0 <= me < len(peers) or len(peers) != hosts:
+        return None
+    if not 2 <= len(peers) <= PEERS_MAX:
+        return None
+    addresses = tuple(Address.parse(one, "'peers'") for one in peers)
+    return FleetPlan(tuple(map(str, range(len(peers)))), me,
+                     Address.parse(told["peer_listen"], "'peer_listen'"), addresses)
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -7,6 +7,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 from lemonridge import api
 from lemonridge.core.clock import Clock
@@ -64,6 +65,18 @@
             self._waiter.set_result(None)
 
 
+class Onlooker(Protocol):
+    """Sees what the decisions see, before they do, and what they decide."""
+
+    def arrived(self, event: api.Arrived) -> None: ...
+
+    def ended(self, event: api.Ended) -> None: ...
+
+    def acted(self, action: api.Action) -> None: ...
+
+    def renewed(self) -> None: ...
+
+
 class Decider:
     """Owns the scheduler. The events of one turn of the event loop go to it together."""
 
@@ -78,6 +91,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._taken = 0
         self.relist: Callable[[], tuple[api.Entry, ...]] = tuple
+        self.onlooker: Onlooker | None = None
 
     @property
     def held(self) -> int:
@@ -89,8 +103,11 @@
         self._taken += 1
         mailbox = Mailbox(f"r{self._taken}", request)
         self._mailboxes[mailbox.name] = mailbox
-        self.tell(api.Arrived(mailbox.name, request.shard, request.volume, request.deadline_us, request.key,
-                              request.cls, request.plan, request.units, request.hosts))
+        arrived = api.Arrived(mailbox.name, request.shard, request.volume, request.deadline_us, request.key,
+                              request.cls, request.plan, request.units, request.hosts)
+        if self.onlooker is not None:
+            self.onlooker.arrived(arrived)
+        self.tell(arrived)
         return mailbox
 
     def configure(self, settings: api.Settings) -> None:
@@ -112,6 +129,8 @@
 
     def tell(self, event: api.Event) -> None:
         """Note an event for the end of this turn of the loop."""
+        if self.onlooker is not None and isinstance(event, api.Ended):
+            self.onlooker.ended(event)
         self._events.append(event)
         if not self._due:
             self._due = True
@@ -131,7 +150,10 @@
                 self._counters[f"given_up.{action.why.value}"] += 1
             if isinstance(action, api.Wake):
                 self._wake_at(action.at_us)
-            elif not isinstance(action, (api.Subscribe, api.Chilled)):  # the watch of the list never ends
+            elif isinstance(action, api.Chilled):
+                if self.onlooker is not None:
+                    self.onlooker.acted(action)
+            elif not isinstance(action, api.Subscribe):  # the watch of the node list never ends
                 mailbox = self._mailboxes.get(action.request)
                 if mailbox is not None:
                     mailbox.deliver(action)
@@ -167,4 +189,6 @@
             self._timer = None
         self._seed += 1
         self._scheduler = Scheduler(self._settings, self._seed)
+        if self.onlooker is not None:
+            self.onlooker.renewed()
         self.tell(api.Listed(api.ListKind.STALE, self.relist()))
--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -157,7 +157,7 @@
         self.rates = Rates()
         self.flaws: defaultdict[Flaw, int] = defaultdict(int)
         self.counts: defaultdict[str, int] = defaultdict(int)
-        self._limits: dict[int, float] = {}  # of volumes in use, in units a second
+        self._limits: dict[int, tuple[float, int]] = {}  # of volumes: units a second, and when last used
         self._cold: dict[int, _Cold] = {}  # by shard
         self._told: dict[Key, Slice] = {}
         self._senders = [_Sender() for _ in roster.names]
@@ -172,14 +172,26 @@
 
     # What this broker sees itself
 
-    def taken(self, volume: int, limit: float, hosts: int, units: float, now_us: int) -> None:
-        """A request of a volume that has a limit, of so many units a second, was asked for."""
-        if hosts < 2:
-            return
+    def taken(self, volume: int, limit: float, hosts: int, units: float, now_us: int) -> Sliced | None:
+        """A request of a volume that has a limit, of so many units a second, was asked for. The slice is told
+        where it was not before: it may be lent already, and must be known before the request."""
+        if hosts < 2 or self.roster.size < 2:
+            return None
         key = (int(Kind.LIMIT), volume)
-        self._limits[volume] = limit
+        before = self._limits.get(volume)
+        self._limits[volume] = (limit, now_us)
         self.rates.add(key, units, now_us)
-        self.ledger.own(key, WHOLE // hosts, hosts, True, now_us)
+        pool = self.ledger.own(key, WHOLE // hosts, hosts, True, now_us)
+        # After a while without requests the decisions may have forgotten the volume, its slice too.
+        if pool is None or (key in self._told and before is not None and now_us - before[1] < IDLE_US // 2):
+            return None
+        self._told[key] = now = self.ledger.slice(key, now_us)
+        return Sliced(Kind.LIMIT, volume, now, pool.base)
+
+    def told(self) -> list[Sliced]:
+        """Every slice as it was told last."""
+        return [Sliced(Kind(key[0]), key[1], one, self.ledger.pools[key].base)
+                for key, one in self._told.items() if key in self.ledger.pools]
 
     def asked(self, shard: int, units: float, now_us: int) -> None:
         """A request for a shard was asked for."""
@@ -344,7 +356,7 @@
             return
         rate = self.rates.rate(key, now_us) * AHEAD
         if key[0] == Kind.LIMIT:
-            limit = self._limits.get(key[1], 0.0)
+            limit = self._limits.get(key[1], (0.0, 0))[0]
             pool.need = min(WHOLE, int(rate / limit * WHOLE)) if limit else 0
         elif key[0] == Kind.COLD:
             pool.need = min(pool.base * FAN, int(rate * 1e6 * COLD_TIMES))
--- /dev/null
+++ b/lemonridge/lab/bent.py
@@ -0,0 +1,77 @@
+"""The real program, bent: with a clock that is off, or with a fault planted in what it decides.
+
+`python -m lemonridge.lab.bent clock=500 serve …` starts it half a second ahead; `fault=NAME` plants one of
+FAULTS. Drills and tests start it in place of the program, so that nothing of this stands in the program.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+
+
+def _clock(offset_ms: float) -> None:
+    """Unix time is off by so much, for whoever asks."""
+    real_ns, real = time.time_ns, time.time
+    time.time_ns = lambda: real_ns() + int(offset_ms * 1e6)
+    time.time = lambda: real() + offset_ms / 1e3
+
+
+def _lends_unlowered() -> None:
+    from lemonridge.fleet.escrow import Ledger, Pool
+
+    def mine(self: Ledger, pool: Pool, now_us: int) -> int:
+        return pool.base
+
+    Ledger.mine = mine  # type: ignore[method-assign]
+
+
+def _keeps_for_ever() -> None:
+    from lemonridge.fleet import escrow
+    from lemonridge.fleet.wire import Grant
+
+    real = escrow.Ledger.lent_to_me
+
+    def lent(self: escrow.Ledger, peer: int, told: Grant, now_us: int) -> bool:
+        done = real(self, peer, told, now_us)
+        for pool in self.pools.values():
+            for one in pool.borrowed.values():
+                one.end_us = now_us + 3_600_000_000
+        return done
+
+    escrow.Ledger.lent_to_me = lent  # type: ignore[method-assign]
+
+
+def _forgets_its_loans() -> None:
+    from lemonridge.fleet import escrow
+
+    real = escrow.Ledger.__init__
+
+    def begin(self: escrow.Ledger, me: int, life: int, first_ask: int, error_us: int, now_us: int) -> None:
+        real(self, me, life, first_ask, error_us, now_us)
+        self.whole_us = now_us
+
+    escrow.Ledger.__init__ = begin  # type: ignore[method-assign]
+
+
+FAULTS: dict[str, Callable[[], None]] = {
+    "lends-unlowered": _lends_unlowered, "keeps-for-ever": _keeps_for_ever,
+    "forgets-its-loans": _forgets_its_loans}  # fmt: skip
+
+
+def main(arguments: list[str]) -> int:
+    """Bend, then run the command line with what is left."""
+    while arguments and "=" in arguments[0]:
+        name, _, value = arguments.pop(0).partition("=")
+        if name == "clock":
+            _clock(float(value))
+        else:
+            FAULTS[value]()
+    from lemonridge.cli import main as run
+
+    return run(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/lemonridge/lab/drills/fleet.py
@@ -0,0 +1,109 @@
+"""The drill `fleet`: brokers that share budgets, while links are cut and thinned out and processes die.
+
+A few volumes ask for ten times their limit, demand moves between brokers, nodes die and come back cold. The
+last part of the time is calm: there it is measured how soon slices follow demand again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from lemonridge.lab.checkers.fleet import Findings, Limit, check, healed_ms, used
+from lemonridge.lab.links.schedule import Schedule, draw
+from lemonridge.lab.load.fleet import Asker, Clients
+from lemonridge.lab.rig import Rig, Site, standing
+
+NODES = 3
+HOT = 2  # the volume whose demand sits at one of its brokers
+HOSTS = 3
+SETTLE_S = 1.5  # of the calm, before the use of limits is measured
+HEALED_MS, USED = 3000.0, 0.9  # what the drill must reach
+AT_ONE = 0.85  # of its limit: then slices follow demand
+
+
+@dataclass(frozen=True)
+class Options:
+    """What the command line says."""
+
+    seed: int
+    seconds: float = 20.0
+    brokers: int = 5
+    peers: bool = True
+    faults: bool = True
+    bent: str = ""  # a fault planted in every broker
+
+
+def askers(brokers: int, site: Site, seconds: float, calm_s: float) -> list[Asker]:
+    """The volumes: limited ones that flood and move, and others that ask steadily."""
+    hosts = min(HOSTS, brokers)
+    full = site.limit / (1 + site.units_top) * 2  # requests a second that fill a limit
+    shards = tuple(range(NODES))
+
+    def among(first: int) -> list[int]:
+        return [(first + step) % brokers for step in range(hosts)]
+
+    one, three, four = among(0), among(1), among(2)
+    made = [
+        # Ten times its limit, from one broker to the next each second; at rest in the calm.
+        Asker(1, "basic", hosts, shards, lambda t: 10 * full,
+              lambda t: one[int(t) % hosts] if t < calm_s else one[0], site.units_top),
+        # Ten times its limit, at one of its brokers alone.
+        Asker(HOT, "basic", hosts, shards, lambda t: 10 * full, lambda t: among(3)[0], site.units_top),
+        # Ten times its limit at all of its brokers in turn, request by request.
+        Asker(3, "basic", hosts, shards, lambda t: 6 * full, lambda t: three[int(t * 1000) % hosts],
+              site.units_top),
+        # In surges, moving every three seconds.
+        Asker(4, "basic", hosts, shards, lambda t: 5 * full if int(t) % 4 < 2 else full / 2,
+              lambda t: four[int(t / 3) % hosts], site.units_top)]  # fmt: skip
+    made += [Asker(100 + n, "priority", 1, shards, lambda t: 5.0, lambda t, n=n: n,  # type: ignore[misc]
+                   site.units_top) for n in range(brokers)]  # fmt: skip
+    return made
+
+
+async def run(options: Options, schedule: Schedule | None = None, site: Site | None = None
+              ) -> tuple[dict[str, object], Findings, Rig]:
+    """One run: the figures of the last line, what was broken, and the rig as it ended."""
+    site = site or Site(further=6.0)
+    if schedule is None:
+        schedule = draw(options.seed, options.seconds, options.brokers, NODES)
+        if not options.faults:
+            schedule = Schedule(brokers=options.brokers, nodes=NODES, seconds=options.seconds,
+                                calm_s=min(5.0, options.seconds / 2))
+    module = ("lemonridge.lab.bent", f"fault={options.bent}") if options.bent else ("lemonridge",)
+    async with standing(schedule.brokers, NODES, options.seed, site, options.peers, module=module) as rig:
+        clients = Clients([one.port for one in rig.brokers], options.seed, site.deadline_ms)
+        await asyncio.gather(clients.run(askers(schedule.brokers, site, schedule.seconds, schedule.calm_s),
+                                         schedule.seconds), rig.play(schedule))  # fmt: skip
+        await rig.stop()
+        return *judge(options, schedule, rig, clients, site), rig
+
+
+def judge(options: Options, schedule: Schedule, rig: Rig, clients: Clients,
+          site: Site) -> tuple[dict[str, object], Findings]:
+    """The figures, from what nodes and clients saw."""
+    came = [one for node in rig.nodes for one in node.came]
+    limit = Limit(site.limit, site.burst, site.slack)
+    further = Limit(site.further, max(site.further, schedule.brokers), 1.0) if site.further else None
+    found = check(came, clients.asked, dict.fromkeys((1, 2, 3, 4), limit), further,
+                  {one.number: one.discovery.told for one in rig.brokers},
+                  {one.number: one.down for one in rig.brokers},
+                  sum(node.falls for node in rig.nodes), clients.surplus)  # fmt: skip
+    calm, end = rig.begun + schedule.calm_s, rig.begun + schedule.seconds
+    healed = healed_ms(came, HOT, calm, end, AT_ONE * site.limit)
+    share = min(used(came, volume, calm + SETTLE_S, end) / site.limit for volume in (1, HOT))
+    figures: dict[str, object] = {
+        "drill": "fleet", "seed": options.seed, "brokers": schedule.brokers, "requests": len(clients.asked),
+        "served": sum(one.end == "served" for one in clients.asked), "splits": rig.splits,
+        "kills": sum(one.kills for one in rig.brokers), "stops": sum(one.stops for one in rig.brokers),
+        "limit_excess": found.limit_excess, "cold_overloads": found.cold_overloads,
+        "budget_excess": found.budget_excess, "late_sends": found.late_sends,
+        "double_answers": found.double_answers, "unanswered": found.unanswered,
+        "healed_after_ms": int(healed), "used_of_limit": round(share, 3)}  # fmt: skip
+    return figures, found
+
+
+def held(figures: dict[str, object], found: Findings) -> bool:
+    """Whether the drill held: no rule broken, healed in time, and a limit used where its demand is."""
+    return (found.held and float(str(figures["healed_after_ms"])) < HEALED_MS
+            and float(str(figures["used_of_limit"])) > USED)
--- a/lemonridge/lab/load/http.py
+++ b/lemonridge/lab/load/http.py
@@ -151,7 +151,7 @@
             program = Program("serve", environment={"ROUTER_CONFIG": str(config)})
             try:
                 port = await program.start()
-                await _ready(port)
+                await ready(port)
                 yield program, port, nodes
                 await program.stop()
             finally:
@@ -164,7 +164,7 @@
         await discovery.stop()
 
 
-async def _ready(port: int) -> None:
+async def ready(port: int) -> None:
     """Until `GET /-/ready` answers 200; ProgramError after READY_S."""
     loop = asyncio.get_running_loop()
     until = loop.time() + READY_S
--- a/lemonridge/lab/program.py
+++ b/lemonridge/lab/program.py
@@ -21,9 +21,11 @@
 class Program:
     """One broker. `heard` gets every log line as a dictionary of its keys, with the time of its arrival."""
 
-    def __init__(self, *arguments: str, cwd: str | None = None,
-                 environment: dict[str, str] | None = None) -> None:
-        """`cwd` is where another checkout of the program lies; None: this one. `environment` adds to ours."""
+    def __init__(self, *arguments: str, cwd: str | None = None, environment: dict[str, str] | None = None,
+                 module: tuple[str, ...] = ("lemonridge",)) -> None:
+        """`cwd` is where another checkout of the program lies; None: this one. `environment` adds to ours.
+        `module` is what is run, with its first arguments."""
+        self._module = module
         self._arguments, self._cwd, self._environment = arguments, cwd, environment or {}
         self.heard: list[Callable[[float, dict[str, str]], None]] = []
         self.counts: dict[str, int] = {}
@@ -33,7 +35,7 @@
     async def start(self) -> int:
         """The port that it listens on."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lemonridge", *self._arguments, stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", *self._module, *self._arguments, stderr=asyncio.subprocess.PIPE,
             cwd=self._cwd, env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1", **self._environment},
         )  # fmt: skip
         self._reader = asyncio.create_task(self._read())
--- /dev/null
+++ b/lemonridge/lab/rig.py
@@ -0,0 +1,282 @@
+"""The rig between processes: N brokers as real processes, what is around them, and faults by a schedule.
+
+Each broker is `serve` with files of its own, before disk nodes that keep logs and a discovery of its own, and
+hears of its peers at addresses that only it is told (`links/datagrams.py`). Brokers are killed, stopped,
+continued and started late; nodes die, come back cold and are drained.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from lemonridge.lab.links.datagrams import Network, Stretch, free_port
+from lemonridge.lab.links.schedule import LINKS, Fault, Schedule
+from lemonridge.lab.load.http import ready
+from lemonridge.lab.program import Program
+from lemonridge.lab.standins.cold import ColdNode
+from lemonridge.lab.standins.platform import Discovery
+
+BROKERS_MAX = 64
+
+
+@dataclass(frozen=True)
+class Site:
+    """The figures of the small site that the rig sets up."""
+
+    limit: float = 20.0  # of a `basic` volume, in units a second, over all brokers
+    burst: float = 32.0
+    slack: float = 4.0
+    units_top: int = 4
+    deadline_ms: int = 1500
+    aim_ms: int = 1000
+    cold_units: float = 8.0
+    cold_share: float = 0.2
+    ramp_s: float = 6.0
+    fall_s: float = 1.0
+    tip_multiple: float = 2.5
+    unit_ms: float = 10.0
+    cores: int = 2
+    further: float = 0.0  # further attempts a second, of all brokers
+
+    def facts(self, brokers: int, nodes: int, me: int) -> dict[str, Any]:
+        """The settings as PROTOCOL's configuration holds them."""
+        cls = {"aim-us": self.aim_ms * 1000, "deadline-us": self.deadline_ms * 1000, "gain": 2.0,
+               "memory-span-us": 3_000_000}  # fmt: skip
+        plan = {"burst": 0.0, "cap": 0.0, "limit-slack": 0.0, "weight": 1.0, "worth-factor": 1.0}
+        return {
+            "fleet-size": brokers, "me": me, "discovery": "push", "tick-us": 2000, "azs": ["hall-a"],
+            "classes": [{**cls, "group": "all", "name": "read", "semantics": "repeatable"},
+                        {**cls, "group": "cell", "name": "new-write", "semantics": "by_key"}],
+            "grades": [{**plan, "base-rate": self.limit / 4, "guaranteed": 0.0, "name": "basic",
+                        "cap": self.limit, "burst": self.burst, "limit-slack": self.slack},
+                       {**plan, "base-rate": 40.0, "guaranteed": 40.0, "name": "priority"}],
+            "family-info": {"class-writes": [False, True], "cold-units": self.cold_units, "meter-us": 0,
+                            "n-shards": nodes, "tells-elsewhere": False, "unit-mean": 2.5,
+                            "units-top": self.units_top},
+            "limits": {"cancelling": True, "connect-timeout-us": 250000, "keepalive-us": 15000000,
+                       "max-attempts": 4, "max-retry-after-us": 500000, "retry-after": True, "peers": True},
+            "rules": {"cold-share": self.cold_share, "drain-grace-us": 500000,
+                      "fall-us": int(self.fall_s * 1e6), "ramp-time-us": int(self.ramp_s * 1e6),
+                      "tip-multiple": self.tip_multiple},
+        }  # fmt: skip
+
+
+class Register(Discovery):
+    """A broker's discovery, which notes when it has written what."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.told: list[tuple[float, str, str]] = []  # when, node, health
+
+    def note(self, rows: list[dict[str, Any]]) -> None:
+        now = asyncio.get_running_loop().time()
+        self.told += [(now, row["host"], row["health"]) for row in rows]
+
+
+@dataclass
+class Broker:
+    """One broker and its lives."""
+
+    number: int
+    port: int
+    admin: int
+    config: Path
+    discovery: Register
+    arguments: tuple[str, ...]
+    environment: dict[str, str] = field(default_factory=dict)
+    module: tuple[str, ...] = ("lemonridge",)
+    program: Program | None = None
+    down: list[tuple[float, float]] = field(default_factory=list)  # from when until when it was not all there
+    kills: int = 0
+    stops: int = 0
+    counts: list[dict[str, int]] = field(default_factory=list)
+
+    async def start(self) -> None:
+        self.program = Program("serve", *self.arguments, module=self.module,
+                               environment={"ROUTER_CONFIG": str(self.config), **self.environment})
+        await self.program.start()
+
+    async def ready(self) -> None:
+        await ready(self.port)
+
+    async def kill(self) -> None:
+        """SIGKILL; it knows nothing any more."""
+        assert self.program is not None
+        self.kills += 1
+        self.program.process.kill()
+        await self.program.process.wait()
+        self.program = None
+
+    def signal(self, name: signal.Signals) -> None:
+        assert self.program is not None
+        self.program.process.send_signal(name)
+
+    async def stop(self) -> None:
+        if self.program is not None:
+            self.program.process.send_signal(signal.SIGCONT)
+            await self.program.stop()
+            self.counts.append(self.program.counts)
+
+
+class Rig:
+    """All of it."""
+
+    def __init__(self, folder: Path, brokers: int, nodes: int, seed: int, site: Site, peers: bool) -> None:
+        self.folder, self.site, self.seed, self.peers = folder, site, seed, peers
+        self.network = Network(brokers, seed)
+        self.nodes = [ColdNode(f"s-{n}", n, brokers, site.cores, unit_ms=site.unit_ms,
+                               cold_share=site.cold_share, ramp_s=site.ramp_s, fall_s=site.fall_s,
+                               tip_multiple=site.tip_multiple) for n in range(nodes)]  # fmt: skip
+        self.brokers: list[Broker] = []
+        self.begun = 0.0
+        self.splits = 0
+        self.broken: list[str] = []  # what did not go as a drill must
+
+    def now(self) -> float:
+        """Seconds since the load began."""
+        return asyncio.get_running_loop().time() - self.begun
+
+    async def start(self, module: Callable[[int], tuple[str, ...]], late: tuple[int, ...] = ()) -> None:
+        """Bring all of it up; `late` brokers are not started yet. `module` is what is run for a broker."""
+        await self.network.start()
+        for node in self.nodes:
+            await node.start()
+        for number in range(self.network.count):
+            register = await Register().start()
+            assert isinstance(register, Register)
+            for node in self.nodes:
+                await register.set(node.row(number))
+            more = ("--peers",) if self.peers else ()
+            broker = Broker(number, free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM),
+                            self.folder / f"b{number}.json", register, more,
+                            module=module(number))  # fmt: skip
+            broker.config.write_text(json.dumps(self.config(broker)))
+            self.brokers.append(broker)
+        there = [one for one in self.brokers if one.number not in late]
+        await asyncio.gather(*(one.start() for one in there))
+        await asyncio.gather(*(one.ready() for one in there))
+
+    def config(self, broker: Broker) -> dict[str, Any]:
+        """What the platform would tell a broker."""
+        number = broker.number
+        return {"name": f"b{number}", "listen": f"127.0.0.1:{broker.port}",
+                "discovery": f"127.0.0.1:{broker.discovery.port}", "seed": f"{self.seed * 97 + number:016x}",
+                "known": {}, "settings": self.site.facts(self.network.count, len(self.nodes), number),
+                "limits": {"sockets": 1024}, "admin_addr": f"127.0.0.1:{broker.admin}",
+                "peer_listen": self.network.listen(number), "peers": self.network.told(number)}  # fmt: skip
+
+    async def stop(self) -> None:
+        """End every broker well, then what is around them."""
+        await asyncio.gather(*(one.stop() for one in self.brokers))
+
+    async def clear(self) -> None:
+        """Whatever is left."""
+        for broker in self.brokers:
+            if broker.program is not None and broker.program.process.returncode is None:
+                broker.program.process.kill()
+                await broker.program.process.wait()
+            await broker.discovery.stop()
+        for node in self.nodes:
+            if node.alive:
+                node.kill()
+        self.network.stop()
+
+    # Faults
+
+    async def play(self, schedule: Schedule) -> None:
+        """Every fault of a schedule in its time; at its end all is whole."""
+        await asyncio.gather(*(self._fault(schedule, one) for one in schedule.fault))
+        await asyncio.sleep(max(0.0, schedule.calm_s - self.now()))
+        self.network.heal()
+
+    async def _fault(self, schedule: Schedule, one: Fault) -> None:
+        await asyncio.sleep(max(0.0, one.at_s - self.now()))
+        if one.kind in LINKS:
+            self.splits += one.kind == "split"
+            await self.link(schedule.pairs(one), one)
+        elif one.kind == "kill":
+            await asyncio.gather(*(self.restart(self.brokers[n], one.for_s) for n in one.brokers))
+        elif one.kind == "stop":
+            await asyncio.gather(*(self.pause(self.brokers[n], one.for_s) for n in one.brokers))
+        elif one.kind == "late":
+            await asyncio.sleep(one.for_s)
+            for number in one.brokers:
+                await self.brokers[number].start()
+        elif one.kind == "node-death":
+            await asyncio.gather(*(self.death(self.nodes[n], one.for_s) for n in one.nodes))
+        elif one.kind == "node-drain":
+            await asyncio.gather(*(self.drain(self.nodes[n], one.for_s) for n in one.nodes))
+
+    async def link(self, pairs: list[tuple[int, int]], one: Fault) -> None:
+        """A fault of some stretches for its time. Where two of a kind overlap, the later end heals both."""
+        field_of = {"loss": "loss", "double": "double", "reorder": "reorder", "corrupt": "corrupt"}
+        name = field_of.get(one.kind, "delay_ms" if one.kind == "delay" else "cut")
+        value: Any = one.ms if name == "delay_ms" else one.share if name in field_of.values() else True
+        for pair in pairs:
+            setattr(self.network.stretches[pair], name, value)
+        await asyncio.sleep(one.for_s)
+        for pair in pairs:
+            setattr(self.network.stretches[pair], name, getattr(Stretch(), name))
+
+    async def restart(self, broker: Broker, away_s: float) -> None:
+        begun = asyncio.get_running_loop().time()
+        await broker.kill()
+        await asyncio.sleep(away_s)
+        await broker.start()
+        await broker.ready()
+        broker.down.append((begun, asyncio.get_running_loop().time()))
+
+    async def pause(self, broker: Broker, away_s: float) -> None:
+        """Stopped, and continued: it still believes itself alive."""
+        begun = asyncio.get_running_loop().time()
+        broker.stops += 1
+        broker.signal(signal.SIGSTOP)
+        await asyncio.sleep(away_s)
+        broker.signal(signal.SIGCONT)
+        broker.down.append((begun, asyncio.get_running_loop().time()))
+
+    async def death(self, node: ColdNode, away_s: float) -> None:
+        """It dies unannounced; its return, cold, is told."""
+        if node.alive:
+            node.kill()
+        await asyncio.sleep(away_s)
+        await node.start(cold=True)
+        await self.tell(node, "up")
+
+    async def drain(self, node: ColdNode, away_s: float) -> None:
+        await self.tell(node, "draining")
+        await asyncio.sleep(away_s)
+        await self.tell(node, "up")
+
+    async def tell(self, node: ColdNode, health: str) -> None:
+        for broker in self.brokers:
+            await broker.discovery.set(node.row(broker.number, health))
+
+
+@asynccontextmanager
+async def standing(brokers: int, nodes: int, seed: int, site: Site | None = None, peers: bool = True,
+                   module: tuple[str, ...] | Callable[[int], tuple[str, ...]] = ("lemonridge",),
+                   late: tuple[int, ...] = ()) -> AsyncGenerator[Rig, None]:
+    """A rig that is up, until the block ends; ProgramError if a broker does not start as it should.
+
+    `module` is what is run in place of the program, with its first arguments (see `bent`): for all, or by the
+    broker's number."""
+    if not 1 <= brokers <= BROKERS_MAX:
+        raise ValueError(f"from 1 to {BROKERS_MAX} brokers")
+    with TemporaryDirectory() as folder:
+        rig = Rig(Path(folder), brokers, nodes, seed, site or Site(), peers)
+        try:
+            await rig.start(module if callable(module) else lambda number: module, late)
+            rig.begun = asyncio.get_running_loop().time()
+            yield rig
+        finally:
+            await rig.clear()
--- /dev/null
+++ b/lemonridge/lab/standins/cold.py
@@ -0,0 +1,143 @@
+"""A disk node of a fleet: it starts cold and falls over under too much, and keeps a log of all that comes.
+
+It has an address for each broker, so that the log says who sent. It follows PROTOCOL ("Brokers to disk
+nodes"): a shard, cores, a queue, 503 with `X-Not-Run: 1` for what it will not run. The answer's body is the
+request's id, so that a client can tell whether it was made for it. Units and the shard stand in the query,
+which a broker passes on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+
+@dataclass(frozen=True, slots=True)
+class Came:
+    """One attempt, as its last byte came; `at` is monotonic time."""
+
+    at: float
+    node: str
+    broker: int
+    ident: str
+    volume: int
+    units: float
+
+
+@dataclass
+class ColdNode:
+    """One disk node before `brokers` brokers; a unit takes `unit_ms` of a core when warm."""
+
+    name: str
+    shard: int
+    brokers: int
+    cores: int = 2
+    queue: int = 64
+    unit_ms: float = 10.0
+    cold_share: float = 0.2
+    ramp_s: float = 6.0
+    tip_multiple: float = 2.5
+    fall_s: float = 1.0
+    ports: list[int] = field(default_factory=list)
+    came: list[Came] = field(default_factory=list)
+    falls: int = 0
+    turned: int = 0
+    alive: bool = False
+    held: int = 0
+    cold_units: float = 0.0  # sent while cold
+    _recent: deque[tuple[float, float]] = field(default_factory=deque)
+    _recent_units: float = 0.0
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    born: float | None = None
+    born_ms: int = 0
+
+    async def start(self, cold: bool = False) -> ColdNode:
+        """Listen, at the addresses of the last life if there was one."""
+        self.born, self.born_ms = (time.monotonic(), time.time_ns() // 1_000_000) if cold else (None, 0)
+        self._recent.clear()
+        self._recent_units, self.held, self.alive = 0.0, 0, True
+        self._cores = asyncio.Semaphore(self.cores)
+        self._listeners = [
+            await asyncio.start_server(lambda r, w, n=n: self._serve(n, r, w), "127.0.0.1",  # type: ignore[misc]
+                                       self.ports[n] if self.ports else 0)
+            for n in range(self.brokers)]  # fmt: skip
+        self.ports = [one.sockets[0].getsockname()[1] for one in self._listeners]
+        return self
+
+    def kill(self) -> None:
+        """Everything that it holds is lost, and its connections are reset."""
+        self.alive = False
+        for listener in self._listeners:
+            listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def row(self, broker: int, health: str = "up") -> dict[str, Any]:
+        """Its entry in the list that this broker is told."""
+        return {"host": self.name, "dial": f"127.0.0.1:{self.ports[broker]}", "site": "a", "class": "m",
+                "block": self.shard, "health": health, "share": 1.0, "born_ms": self.born_ms}  # fmt: skip
+
+    def warmth(self) -> float:
+        """Its part of its power."""
+        if self.born is None:
+            return 1.0
+        done = (time.monotonic() - self.born) / self.ramp_s
+        return min(1.0, self.cold_share + (1 - self.cold_share) * done)
+
+    def bears(self) -> float:
+        """Units that it bears within the time of a fall, as warm as it is now."""
+        return self.tip_multiple * self.warmth() * self.cores * self.fall_s * 1000 / self.unit_ms
+
+    async def _serve(self, broker: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                told = {name.lower(): value for name, _, value in
+                        (line.partition(": ") for line in head[1:-2])}  # fmt: skip
+                await reader.readexactly(int(told.get("content-length", 0)))
+                answer = await self._run(broker, head[0].split()[1], told.get("x-request-id", ""))
+                writer.write(answer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError, IndexError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _run(self, broker: int, target: str, ident: str) -> bytes:
+        if not ident:
+            return _answer(404)
+        parts = urlsplit(target)
+        query = parse_qs(parts.query)
+        units, shard = float(query["units"][0]), int(query["shard"][0])
+        now = time.monotonic()
+        self.came.append(Came(now, self.name, broker, ident, int(parts.path.split("/")[2], 16), units))
+        if self.warmth() < 1.0:
+            self.cold_units += units
+            self._recent.append((now, units))
+            self._recent_units += units
+            while self._recent[0][0] < now - self.fall_s:
+                self._recent_units -= self._recent.popleft()[1]
+            if self._recent_units > self.bears():
+                self.falls += 1
+                self.kill()
+                raise ConnectionError
+        if shard not in (-1, self.shard) or self.held >= self.cores + self.queue:
+            self.turned += 1
+            return _answer(503, b"", "X-Not-Run: 1\r\n")
+        self.held += 1
+        try:
+            async with self._cores:
+                await asyncio.sleep(units * self.unit_ms / 1000 / self.warmth())
+        finally:
+            self.held -= 1
+        return _answer(200, ident.encode())
+
+
+def _answer(status: int, body: bytes = b"", more: str = "") -> bytes:
+    return f"HTTP/1.1 {status} X\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode() + body
--- a/lemonridge/lab/standins/platform.py
+++ b/lemonridge/lab/standins/platform.py
@@ -148,4 +148,8 @@
             told = {"seq": self.seq, "whole": False, "hosts": hosts}
         else:
             told = {"seq": self.seq, "whole": True, "hosts": list(self.rows.values())}
+        self.note(told["hosts"])
         return web.Response(body=orjson.dumps(told), content_type="application/json")
+
+    def note(self, rows: list[dict[str, Any]]) -> None:
+        """These rows are about to be written to a broker."""
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -131,6 +131,7 @@
         self.lost: set[tuple[str, int]] = set()  # attempts written off, still without an outcome
         self.volumes: dict[int, Volume] = {}
         self.levels: dict[int, float] = {}  # of limits, taken over for volumes that have not asked yet
+        self.slices: dict[int, Sliced] = {}  # as last told, also of volumes that have not asked
         self.flow = 1.0  # of limits: they fill, or ebb once they are handed over
         self.nodes: dict[str, Node] = {}
         self.shards: dict[int, list[Node]] = {}
@@ -145,18 +146,15 @@
         self.wake_us: int | None = None
         self.pace = 0.0  # answer time of a request of mean size at warm nodes
         self.cycle_us = 0  # when every waiting lane is visited next
-        # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
-        self.tightest = min(cls.aim_us for cls in settings.classes)
-        self.longest = [0] * len(settings.classes)  # longest wait seen granted, by class
         self.further = Store(0)
         self.taken: deque[int] = deque()
         self.resends: deque[int] = deque()
         self.ask_pause = ASK_US
         self.swept_us = 0
-        self.start = WINDOW_START if settings.hosts <= FEW else WINDOW_MIN
         self.touched: dict[int, None] = {}
         self.actions: list[Action] = []
         self.now = 0
+        self._configured(settings)
 
     # Events
 
@@ -165,7 +163,6 @@
         self.now, self.actions = now_us, []
         if self.born is None:
             self.born = self.swept_us = self.further.filled_us = now_us
-            self._size_further(True)
             if self.settings.asks_list:
                 self.actions.append(Subscribe())
         for event in events:
@@ -215,24 +212,24 @@
     def _configured(self, settings: Settings) -> None:
         """Go by new settings. What is held keeps the class it came with; a volume takes its new plan with
         its next request, which alone tells it."""
-        self.settings, hosts = settings, self.settings.hosts
+        self.settings, before = settings, self.settings.hosts
+        # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
         self.tightest = min(cls.aim_us for cls in settings.classes)
-        self.longest = [0] * len(settings.classes)
+        self.longest = [0] * len(settings.classes)  # longest wait seen granted, by class
         self.start = WINDOW_START if settings.hosts <= FEW else WINDOW_MIN
-        self._size_further(settings.hosts != hosts)
-
-    def _size_further(self, even: bool) -> None:
-        rate, hosts = self.settings.further_rate, self.settings.hosts
-        self.further.size(self.now, rate, max(rate, hosts), hosts, even)
+        rate, hosts = settings.further_rate, settings.hosts
+        self.further.size(self.now, rate, max(rate, hosts), hosts, hosts != before)
 
     def _sliced(self, event: Sliced) -> None:
         """Another slice of what hosts share, since a moment ago: until then the one before counts."""
         part, since = (event.part, event.until_us, event.after), event.since_us
-        if event.budget is Budget.LIMIT and (volume := self.volumes.get(int(event.name))):
-            volume.store.tell(since, *part)
-            for lane in volume.lanes.values():
-                if lane.parked:
-                    self._ring(lane)
+        if event.budget is Budget.LIMIT:
+            self.slices[int(event.name)] = event
+            if volume := self.volumes.get(int(event.name)):
+                volume.store.tell(since, *part)
+                for lane in volume.lanes.values():
+                    if lane.parked:
+                        self._ring(lane)
         elif event.budget is Budget.COLD and (node := self.nodes.get(str(event.name))):
             self._cold(node)
             node.share.tell(*part)
@@ -251,6 +248,8 @@
             volume.store.level = self.levels.pop(event.volume, 0.0)
         if volume.settings is not s or max(1, event.hosts) > volume.hosts:
             volume.go_by(s.plans[event.plan], max(1, volume.hosts, event.hosts), s, self.now)
+            if told := self.slices.get(event.volume):
+                volume.store.tell(told.since_us, told.part, told.until_us, told.after)
         volume.seen_us = self.now
         # A client's repeat shows in that less than the longest wait is left: its aim is as old as
         # its first try, so it must not push back requests that can still be on time.
@@ -812,6 +811,7 @@
         if self.now - self.swept_us < IDLE_US:
             return
         self.swept_us = self.now
+        self.slices = {name: told for name, told in self.slices.items() if name in self.volumes}
         for name, volume in list(self.volumes.items()):
             idle = self.now - volume.seen_us > IDLE_US and not volume.waiting and not volume.undrawn
             if idle and (not volume.plan.limit or volume.store.fill(self.now) >= volume.store.top):
--- a/lemonridge/service.py
+++ b/lemonridge/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from lemonridge import api
 from lemonridge.config import Platform
@@ -14,6 +14,9 @@
 from lemonridge.core.directory import Directory
 from lemonridge.counters import Counters
 
+if TYPE_CHECKING:
+    from lemonridge.net.peers import Peers
+
 log = logging.getLogger(__name__)
 
 IDLE_S = 0.005  # how often the end of the last request is looked for, once the program is to end
@@ -40,6 +43,7 @@
         self.close: Callable[[], Awaitable[None]]
         self.configure: Callable[[Platform], None] | None = None
         self.endings: list[Callable[[], None]] = []  # called last
+        self.peers: Peers | None = None
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     def watch(self, work: Coroutine[None, None, None], what: str = "nodes") -> None:
@@ -50,6 +54,8 @@
         self._watches[what] = asyncio.create_task(work)
 
     def print_counters(self, why: str) -> None:
+        if self.peers is not None:
+            self.peers.count()
         self.counters.print(why, self.name)
 
     async def stop(self) -> None:
--- a/lemonridge/stores.py
+++ b/lemonridge/stores.py
@@ -46,13 +46,13 @@
         self.rate, self.top = 0.0, -1.0  # no size yet
 
     def size(self, now: int, rate: float, top: float, hosts: int, even: bool) -> None:
-        """Go by `rate` units a second and `top` units for all of `hosts` from now on; `even` is their shares,
-        until others are told."""
+        """Go by `rate` units a second and `top` units for all of `hosts` from now on; `even` makes the
+        shares even, until others are told."""
         if self.top >= 0:  # at its first size what came in since its birth is still to come
             self.fill(now)
-        self.rate, self.top = rate, top / hosts
-        if even:
+        if even or self.top < 0:
             self.share = Share(1 / hosts)
+        self.rate, self.top = rate, top / hosts
 
     def fill(self, now: int) -> float:
         """The level. A store that was handed over has a flow of -1: what was kept ebbs as the successor's
