Rehearse a fleet among cuts, stops and kills: drill fleet

Demand is remembered up to the limit only: a flood of ten times the limit that had moved on held what it borrowed for 2.6 s more. The floor is a 20th of what is a broker's own. A process that was stopped (SIGSTOP) decides nothing for 30 ms after it goes on, so that drains told meanwhile are read, and what was decided before a stop is not sent after it.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -81,6 +81,8 @@
         made.peers = Peers(platform.fleet, made.decider, made.clock, made.counters, platform.seed, settings)
         made.endings.append(made.peers.stop)
         made.watch(made.peers.start(), "peers")
+        made.decider.mind_stops()
+        nodes.minds_stops = True
     front.bind(platform.listen, platform.passed)
     desk = Desk(made, front, life)
     if platform.admin is not None:
--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -73,7 +73,8 @@
             while (order := await mailbox.next_send()) is not None:
                 sent_us = self._decider.clock.now_us()
                 relied = request.route.shard if request.route is not None else request.shard
-                outcome = await self._attempt(mailbox, Attempt(request, number, order.node))
+                attempt = Attempt(request, number, order.node, decided_s=mailbox.decided_s)
+                outcome = await self._attempt(mailbox, attempt)
                 lag_us = self._decider.clock.now_us() - sent_us
                 if outcome.result is api.Result.OK:
                     served = mailbox.settle(Answer(Kind.SERVED, outcome.reply))
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -27,6 +27,7 @@
         self.scope: asyncio.Timeout | None = None  # of the attempt in flight
         self.number = -1  # of the attempt in flight
         self.cancelled = False  # it was called off
+        self.decided_s = 0.0  # when the last attempt was, on the loop's clock
         self._orders: deque[api.Send] = deque()
         self._waiter: asyncio.Future[None] | None = None
 
@@ -42,6 +43,7 @@
         """Take a decision. A final answer leaves at once, also while an attempt is out."""
         if isinstance(action, api.Send):
             self._orders.append(action)
+            self.decided_s = asyncio.get_running_loop().time()
             self._wake()
         elif isinstance(action, api.Refuse):
             self.settle(Answer(Kind.REFUSED, backoff_us=action.backoff_us))
@@ -65,6 +67,11 @@
             self._waiter.set_result(None)
 
 
+BEAT_S = 0.1  # how often a process that must know of its stops looks whether it ran
+STALL_S = 0.3  # a look that comes so much late says that it did not: well within the time of a drain
+CATCH_UP_S = 0.03  # after that nothing is decided for so long: what came meanwhile is read first
+
+
 class Onlooker(Protocol):
     """Sees what the decisions see, before they do, and what they decide."""
 
@@ -92,6 +99,8 @@
         self._taken = 0
         self.relist: Callable[[], tuple[api.Entry, ...]] = tuple
         self.onlooker: Onlooker | None = None
+        self._beat_s: float | None = None
+        self._held_until_s = 0.0
 
     @property
     def held(self) -> int:
@@ -136,7 +145,27 @@
             self._due = True
             self._loop.call_soon(self._decide)
 
+    def mind_stops(self) -> None:
+        """Look from now on whether this process was stopped (SIGSTOP, a machine that had no time for it). One
+        that goes on believes what it knew before, while drains and slices that it has not read yet hold."""
+        beat_s, self._beat_s = self._beat_s, self._loop.time()
+        if beat_s is not None:
+            self._look(beat_s)
+        self._loop.call_later(BEAT_S, self.mind_stops)
+
+    def _look(self, beat_s: float) -> None:
+        now_s = self._loop.time()
+        if now_s - beat_s > BEAT_S + STALL_S and now_s > self._held_until_s:
+            self._held_until_s = now_s + CATCH_UP_S
+            self._counters["loop.stopped"] += 1
+            log.warning("did not run", extra={"for_ms": int((now_s - beat_s) * 1000)})
+
     def _decide(self) -> None:
+        if self._beat_s is not None:
+            self._look(self._beat_s)
+            if self._loop.time() < self._held_until_s:
+                self._loop.call_at(self._held_until_s, self._decide)
+                return
         events, self._events, self._due = self._events, [], False
         try:
             actions = self._scheduler.handle(self.clock.now_us(), events)
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -44,6 +44,7 @@
     number: int
     node: str
     reached: bool = False
+    decided_s: float = 0.0  # on the loop's clock
 
 
 @runtime_checkable
--- a/lemonridge/fleet/demand.py
+++ b/lemonridge/fleet/demand.py
@@ -17,8 +17,10 @@
     def __init__(self) -> None:
         self._rates: dict[Key, tuple[float, int]] = {}
 
-    def add(self, key: Key, units: float, now_us: int) -> None:
-        rate = self.rate(key, now_us) + units * 1e6 / FADE_US
+    def add(self, key: Key, units: float, now_us: int, top: float) -> None:
+        """Units were asked for. Past `top` a second nothing more is wanted, so what is asked beyond it must
+        not be remembered either: a flood that has moved on would else hold what it borrowed."""
+        rate = min(top, self.rate(key, now_us) + units * 1e6 / FADE_US)
         self._rates.pop(key, None)  # the latest stands last
         self._rates[key] = (rate, now_us)
         if len(self._rates) > RATES_MAX:
--- a/lemonridge/fleet/escrow.py
+++ b/lemonridge/fleet/escrow.py
@@ -23,7 +23,7 @@
 WHOLE = 1_000_000  # parts of a volume's limit, or of the further attempts
 SPAN_US = 1_500_000  # of a loan: what a dead borrower keeps from others, against questions a second
 ASK_US = 400_000  # between two questions for the same budget: a loan outlives two that are lost
-FLOOR = 10  # a tenth of what is its own is never lent
+FLOOR = 20  # one part of so many of what is its own is never lent: what stays idle when all of it is lent
 LEAST = 1000  # parts under this are not worth a loan
 POOLS_MAX = 8192  # budgets that are kept; past it nothing new is lent or borrowed
 ASKS_MAX = 8  # questions remembered for a budget
--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -60,7 +60,7 @@
 
     bytes_s: float = 8192.0  # that may leave, in a second
     error_us: int = 50_000  # by which two clocks may differ over the span of a loan
-    further: bool = False  # whether further attempts have a budget of the fleet
+    further: float = 0.0  # further attempts a second, of all brokers; 0: they have no budget of the fleet
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,7 +180,7 @@
         key = (int(Kind.LIMIT), volume)
         before = self._limits.get(volume)
         self._limits[volume] = (limit, now_us)
-        self.rates.add(key, units, now_us)
+        self.rates.add(key, units, now_us, limit)
         pool = self.ledger.own(key, WHOLE // hosts, hosts, True, now_us)
         # After a while without requests the decisions may have forgotten the volume, its slice too.
         if pool is None or (key in self._told and before is not None and now_us - before[1] < IDLE_US // 2):
@@ -196,11 +196,11 @@
     def asked(self, shard: int, units: float, now_us: int) -> None:
         """A request for a shard was asked for."""
         if shard in self._cold:
-            self.rates.add(self._cold[shard].key, units, now_us)
+            self.rates.add(self._cold[shard].key, units, now_us, COLD_TOP)
 
     def tried(self, now_us: int) -> None:
         """A further attempt was wanted, made or not."""
-        self.rates.add((int(Kind.FURTHER), 0), 1.0, now_us)
+        self.rates.add((int(Kind.FURTHER), 0), 1.0, now_us, self.tuning.further)
 
     # Events
 
@@ -361,7 +361,7 @@
         elif key[0] == Kind.COLD:
             pool.need = min(pool.base * FAN, int(rate * 1e6 * COLD_TIMES))
         else:
-            pool.need = WHOLE if rate > 0.5 else 0
+            pool.need = min(WHOLE, int(rate / self.tuning.further * WHOLE))
         if pool.need < pool.base:
             self._queue(self.ledger.give_back(key))
 
@@ -444,5 +444,6 @@
         return True
 
 
+COLD_TOP = 1000.0  # units a second: more is not asked for at a cold node
 COLD_TIMES = 4  # a cold node is sent a quarter of a right at least: so much more of it is of use
 _FACT = Fact(0, 0, 0, 0)
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import sys
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -22,6 +23,8 @@
     """The exit status: 0, or 1 where a rule broke or the drill did not meet what it is for."""
     if not 0 < options.seconds <= 3600 or options.move_every_ms < 0:
         raise ConfigError("drill: --seconds must lie within an hour, --move-every-ms must not be negative")
+    if options.name == "fleet":
+        return _drill_fleet(options)
     told = drill_extents.Options(options.seed, options.seconds, options.move_every_ms / 1000,
                                  faults=not options.calm, checked=options.mutation != "unchecked")
     try:
@@ -44,6 +47,29 @@
     return 0 if good else 1
 
 
+def _drill_fleet(options: argparse.Namespace) -> int:
+    from lemonridge.lab.drills import fleet
+    from lemonridge.lab.links import schedule
+
+    if not 2 <= options.brokers <= 32 or options.mutation == "unchecked":
+        raise ConfigError("drill fleet: --brokers from 2 to 32, and a mutation of its own")
+    told = fleet.Options(options.seed, options.seconds, options.brokers, not options.even, not options.calm,
+                         options.mutation or "")  # fmt: skip
+    given = schedule.read(options.schedule) if options.schedule else fleet.plan(told)
+    if options.write_schedule:
+        Path(options.write_schedule).write_text(schedule.write(given))
+        return 0
+    try:
+        figures, found, _ = asyncio.run(fleet.run(told, given))
+    except ProgramError as error:
+        print(f"lemonridge: a broker failed: {error}", file=sys.stderr)
+        return 1
+    for note in found.notes:
+        print(note)
+    print(orjson.dumps(figures).decode() if options.json else line(figures))
+    return 0 if fleet.held(figures, found) else 1
+
+
 def bench(options: argparse.Namespace) -> int:
     """Print the figures, a line each; 1 where the map misses its bounds, or CPU rose by more than a tenth."""
     if options.name == "decisions":
@@ -131,8 +157,6 @@
 
 
 def _lab_run(options: argparse.Namespace) -> int:
-    from pathlib import Path
-
     from lemonridge.lab.model import runs
 
     if options.jobs < 1:
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -24,6 +24,7 @@
 
 BUFFER = 16 * 1024  # of an answer, half of what is held before its connection is read no more
 REST_S = 0.002  # of a connection after an answer: what comes right behind it must be seen before its next use
+LATE_S = 0.25  # past the longest connect: what was decided longer ago is not sent, where stops are minded
 RETIRE = 0.9  # of the time after which a node closes an idle connection: a later request is a reset
 
 
@@ -50,6 +51,11 @@
         self._connect_us, self._counters = connect_us, counters
         self._factory = functools.partial(AnswerReader, loop=self._loop)  # type: ignore[assignment]
 
+    @property
+    def connect_s(self) -> float:
+        """How long a connect may take."""
+        return self._connect_us / 1e6
+
     def configure(self, connect_us: int, keepalive_us: int) -> None:
         self._connect_us, self._keepalive_timeout = connect_us, keepalive_us * RETIRE / 1e6
 
@@ -113,6 +119,8 @@
     def __init__(self, directory: Directory, clock: Clock, connect_us: int, keepalive_us: int,
                  counters: Counters) -> None:
         self._directory, self._clock = directory, clock
+        self._loop = asyncio.get_running_loop()
+        self.minds_stops = False  # what was decided before a stop is not sent after it: its slices are over
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._before_first_byte)
         self._connector = _Connector(connect_us, keepalive_us, counters)
@@ -166,6 +174,8 @@
         attempt: Attempt = context.trace_request_ctx
         if self._directory.address(attempt.node) is None:
             raise WithheldError
+        if self.minds_stops and self._loop.time() > attempt.decided_s + self._connector.connect_s + LATE_S:
+            raise WithheldError
         attempt.reached = True
 
     async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
--- a/lemonridge/net/peers.py
+++ b/lemonridge/net/peers.py
@@ -62,7 +62,7 @@
         tagger: Tagger | None = Keyed(plan.secret) if plan.secret else None
         roster = Roster(plan.names, plan.me)
         now_us = clock.now_us()
-        tuning = machine.Tuning(plan.bytes_s, plan.error_us, settings.further_rate > 0)
+        tuning = machine.Tuning(plan.bytes_s, plan.error_us, settings.further_rate)
         # Wall time, which goes on over restarts; the machine refuses what is of an incarnation before.
         self.fleet = Fleet(roster, time.time_ns() // 1_000_000, seed, now_us, tuning, tagger)
         decider.onlooker = self
