Ask back what an incarnation before lent, so that a start has its own at once; one companion for three hosts

Change: a fresh start recalls; a peer stops using first what any earlier incarnation lent, takes no late word of it any more, and says so. Demand at cold nodes is remembered for 4 s: at a request now and then, a broker lent all of its part between two.

Off by default.

--- /dev/null
+++ b/lemonridge/fleet/companion.py
@@ -0,0 +1,146 @@
+"""The fleet's machine beside one scheduler, whatever hosts both: what the decisions see goes in, what they
+are to be told comes out. Pure.
+
+The program on sockets, the simulator's adapter and the lab's model each feed it and take what it has.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lemonridge import api
+from lemonridge.fleet import machine
+from lemonridge.fleet.escrow import WHOLE, Kind
+from lemonridge.fleet.judgements import Seen, Verdict, What
+from lemonridge.fleet.machine import (
+    BYTES_S,
+    ERROR_US,
+    Fleet,
+    Judged,
+    Leaving,
+    Received,
+    Served,
+    Sliced,
+    Tell,
+    Tuning,
+    Wake,
+    Woke,
+)
+from lemonridge.fleet.roster import Roster, key_of
+from lemonridge.fleet.wire import Tagger
+
+NODES_MAX, SPELLS_MAX = 65536, 4096  # names that are kept for what comes by key
+MICRO = 1e12  # micro-units a second in a unit a microsecond
+BUDGETS = {Kind.LIMIT: api.Budget.LIMIT, Kind.COLD: api.Budget.COLD, Kind.FURTHER: api.Budget.FURTHER}
+SEEN = {api.Result.OK: Seen.GOOD, api.Result.FULL: Seen.GOOD, api.Result.ERROR: Seen.ERROR,
+        api.Result.UNREACHED: Seen.UNREACHED, api.Result.TIMEOUT: Seen.SILENT}  # fmt: skip
+
+
+class Companion:
+    """`events` and `tells` grow with each call, in the order in which they must go; the host takes them. The
+    events come before whatever else the decisions are told from then on."""
+
+    def __init__(self, roster: Roster, life: int, seed: int, now_us: int, settings: api.Settings,
+                 bytes_s: float = BYTES_S, error_us: int = ERROR_US,
+                 tagger: Tagger | None = None) -> None:
+        self.settings = settings
+        tuning = Tuning(bytes_s, error_us, not settings.tells_elsewhere, settings.further_rate)
+        self.fleet = Fleet(roster, life, seed, now_us, tuning, tagger)
+        self.events: list[api.Event] = []
+        self.tells: list[Tell] = []
+        self.wake_us = now_us
+        self.nodes: dict[int, str] = {}  # names by key
+        self._spells: dict[int, str] = {}  # nodes by the key of a cold spell
+        self._handle(now_us)
+
+    def _handle(self, now_us: int, *events: machine.Event) -> None:
+        for action in self.fleet.handle(now_us, events):
+            if isinstance(action, Sliced):
+                self._sliced(action, now_us)
+            elif isinstance(action, Tell):
+                self.tells.append(action)
+            elif isinstance(action, Judged):
+                self._judged(action.verdict)
+            elif isinstance(action, Served):
+                self.events.append(api.Served(action.volume, action.units))
+            elif isinstance(action, Wake):
+                self.wake_us = action.at_us
+
+    # Time and datagrams
+
+    def received(self, source: int | None, data: bytes, now_us: int) -> None:
+        """A datagram came, from member `source`'s address or from no member's."""
+        self._handle(now_us, Received(source, data))
+
+    def woke(self, now_us: int) -> None:
+        self._handle(now_us, Woke())
+
+    def leave(self, now_us: int) -> None:
+        """This broker is about to end."""
+        self._handle(now_us, Leaving())
+
+    # What the decisions see
+
+    def arrived(self, event: api.Arrived, now_us: int) -> None:
+        """A request, before the decisions are told of it."""
+        plan = self.settings.plans[event.plan]
+        if plan.limit:
+            sliced = self.fleet.taken(event.volume, plan.limit, event.hosts, event.units, now_us)
+            if sliced is not None:
+                self._sliced(sliced, now_us)
+        self.fleet.asked(event.shard, event.units, now_us)
+
+    def listed(self, entries: Iterable[api.Entry]) -> None:
+        """The node list, or a part of it."""
+        for entry in entries:
+            if len(self.nodes) < NODES_MAX:
+                self.nodes.setdefault(key_of(entry.node), entry.node)
+
+    def ended(self, event: api.Ended, now_us: int, volume: int = 0, units: float = 0.0) -> None:
+        """An attempt ended, of a request of that volume and size."""
+        seen = SEEN.get(event.result)
+        if seen is not None and self.fleet.ended(key_of(event.node), seen, now_us):
+            self._handle(now_us, Woke())
+        if event.result is api.Result.OK and units:
+            self.fleet.served(volume, units)
+        if not event.finished and event.result is not api.Result.MOOT and self.settings.further_rate:
+            self.fleet.tried(now_us)
+
+    # What they decide
+
+    def sent(self, node: str, units: float) -> None:
+        """An attempt was decided on."""
+        self.fleet.sent(key_of(node), units)
+
+    def chilled(self, action: api.Chilled, now_us: int) -> None:
+        """A cold spell began; brokers that hear of the same start know it by the same key."""
+        key = key_of(f"{action.node} {action.born_us}")
+        if len(self._spells) > SPELLS_MAX:
+            del self._spells[next(iter(self._spells))]
+        self._spells[key] = action.node
+        self._handle(now_us, machine.Chilled(action.node, key, action.shard, action.rate, action.until_us))
+
+    def renewed(self, now_us: int) -> None:
+        """The decisions began anew, with even slices: what is lent, or not this broker's own yet, is kept."""
+        for sliced in self.fleet.told():
+            self._sliced(sliced, now_us)
+
+    # What they are told
+
+    def _sliced(self, told: Sliced, now_us: int) -> None:
+        name: int | str = told.key
+        own, whole = 0, float(WHOLE)
+        if told.kind is Kind.COLD:
+            if told.key not in self._spells:
+                return
+            name, own, whole = self._spells[told.key], told.base, MICRO
+        part = told.slice
+        self.events.append(api.Sliced(BUDGETS[told.kind], name, (part.parts - own) / whole, part.until_us,
+                                      (part.after - own) / whole, now_us))  # fmt: skip
+
+    def _judged(self, verdict: Verdict) -> None:
+        """What others say of a node, if this broker knows it. That one came back cold is shown alone: an
+        answer, or the list, tells."""
+        node = self.nodes.get(verdict.node)
+        if node is not None and verdict.what is not What.COLD:
+            self.events.append(api.Judged(node, verdict.sources, verdict.agreed, verdict.at_us))
--- a/lemonridge/fleet/demand.py
+++ b/lemonridge/fleet/demand.py
@@ -7,20 +7,22 @@
 from lemonridge.fleet.escrow import Key
 
 FADE_US = 700_000  # memory of a rate: a lead that moves each second must be followed, single requests not
+COLD_US = 4_000_000  # of what is asked for at a cold node, where a broker sees a request now and then
 AHEAD = 1.3  # so much more than what was asked for is wanted: room to grow into, against what others lack
 RATES_MAX = 8192  # keys that are kept; past it the ones that were not asked for the longest make room
 
 
 class Rates:
-    """Units a second by key, fading by FADE_US."""
+    """Units a second by key, fading."""
 
-    def __init__(self) -> None:
+    def __init__(self, fade_us: int = FADE_US) -> None:
+        self._fade_us = fade_us
         self._rates: dict[Key, tuple[float, int]] = {}
 
     def add(self, key: Key, units: float, now_us: int, top: float) -> None:
         """Units were asked for. Past `top` a second nothing more is wanted, so what is asked beyond it must
         not be remembered either: a flood that has moved on would else hold what it borrowed."""
-        rate = min(top, self.rate(key, now_us) + units * 1e6 / FADE_US)
+        rate = min(top, self.rate(key, now_us) + units * 1e6 / self._fade_us)
         self._rates.pop(key, None)  # the latest stands last
         self._rates[key] = (rate, now_us)
         if len(self._rates) > RATES_MAX:
@@ -29,7 +31,7 @@
     def rate(self, key: Key, now_us: int) -> float:
         """Units a second."""
         rate, at_us = self._rates.get(key, (0.0, now_us))
-        return rate * exp(min(0, at_us - now_us) / FADE_US)
+        return rate * exp(min(0, at_us - now_us) / self._fade_us)
 
     def known(self) -> list[Key]:
         return list(self._rates)
--- a/lemonridge/fleet/escrow.py
+++ b/lemonridge/fleet/escrow.py
@@ -6,7 +6,8 @@
 when that came, and so later, and longer by the stated error of clocks (leases: Gray and Cheriton, "Leases: An
 Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", 1989, section 3). So no two clocks
 have to agree, and what is lost, doubled, late or held by one that died comes back by itself. A broker that
-has just started may have lent more than it knows of: until the longest loan must be over it has its floors.
+has just started may have lent more than it knows of: it has its floors until the longest loan must be over,
+or until all others have said that they use nothing any more of what it lent before.
 
 Invariant, at any moment, for each budget: the sum over the brokers that use it, of what each has of its own
 and what it has borrowed, is at most the whole. docs/fleet-state.md has the proof.
@@ -18,7 +19,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from lemonridge.fleet.wire import Grant, Item, Release, Want
+from lemonridge.fleet.wire import Cleared, Grant, Item, Release, Want
 
 WHOLE = 1_000_000  # parts of a volume's limit, or of the further attempts
 SPAN_US = 1_500_000  # of a loan: what a dead borrower keeps from others, against questions a second
@@ -117,6 +118,8 @@
         self._ask = first_ask
         self.active: set[Key] = set()  # budgets whose slice may be another one soon
         self.refused = 0  # for want of room
+        self._recalled: dict[int, int] = {}  # lenders that began anew, with the incarnation that they are
+        self._clear: set[int] = set()  # peers that use nothing of an incarnation before this one
 
     # What this broker has
 
@@ -187,11 +190,11 @@
             del pool.asks[next(iter(pool.asks))]
         return Want(key[0], key[1], min(255, pool.hosts), self._ask, max(0, pool.need), SPAN_US // 1000)
 
-    def lent_to_me(self, peer: int, told: Grant, now_us: int) -> bool:
-        """An answer. It counts from when its question was sent, replaces what the same lender gave for an
-        earlier one, and means nothing if it answers none that is open."""
+    def lent_to_me(self, peer: int, life: int, told: Grant, now_us: int) -> bool:
+        """An answer of one of the lender's incarnations. It counts from when its question was sent, replaces
+        what the same lender gave for an earlier one, and means nothing if it answers none that is open."""
         pool = self.pools.get((told.kind, told.key))
-        if pool is None:
+        if pool is None or life < self._recalled.get(peer, 0):
             return False
         if told.holds and told.kind == Kind.LIMIT:
             pool.users.add(peer)
@@ -207,6 +210,32 @@
         self.active.add((told.kind, told.key))
         return True
 
+    def recalled(self, peer: int, life: int) -> Cleared:
+        """A lender began anew: what it lent before is used no more from here on, and no late word of its
+        incarnation before counts."""
+        if life > self._recalled.get(peer, 0):
+            self._recalled[peer] = life
+            for key, pool in self.pools.items():
+                if pool.borrowed.pop(peer, None) is not None:
+                    self.active.add(key)
+        return Cleared(self._recalled[peer])
+
+    def cleared(self, peer: int, told: Cleared, now_us: int) -> bool:
+        """A peer uses nothing of what an incarnation before this one lent. Once all of the roster say so,
+        nothing of it is out."""
+        if told.life != self.life or now_us >= self.whole_us:
+            return False
+        self._clear.add(peer)
+        if len(self._clear) < len(self._others):
+            return False
+        self.whole_us = now_us
+        self.active.update(self.pools)
+        return True
+
+    def unclear(self) -> tuple[int, ...]:
+        """Whom to ask still."""
+        return tuple(peer for peer in self._others if peer not in self._clear)
+
     def give_back(self, key: Key) -> list[tuple[int, Item]]:
         """Use nothing that is lent any more, first, and say so then."""
         pool = self.pools[key]
--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from lemonridge.fleet.counts import Counted, Counts
-from lemonridge.fleet.demand import AHEAD, Rates
+from lemonridge.fleet.demand import AHEAD, COLD_US, Rates
 from lemonridge.fleet.escrow import WHOLE, Key, Kind, Ledger, Slice
 from lemonridge.fleet.judgements import Evidence, Hearsay, Seen, Verdict
 from lemonridge.fleet.members import ALIVE, Members
@@ -24,6 +24,7 @@
     TAG,
     WRAP,
     Ack,
+    Cleared,
     Count,
     Datagram,
     Fact,
@@ -36,6 +37,7 @@
     Judge,
     Ping,
     PingFor,
+    Recall,
     Release,
     State,
     Tagger,
@@ -45,27 +47,31 @@
     size,
 )  # fmt: skip
 
+BYTES_S, ERROR_US = 8192.0, 50_000  # where nothing else is said
 TICK_US = 50_000  # while budgets are in use: how soon demand that moves is followed, against CPU
 STALL_US = 400_000  # a tick so much too late says that this process did not run
 IDLE_US = 30_000_000  # a budget that no one has used or lent for so long is dropped
 FAN = 8  # brokers that one question goes to at most: of more, those that use the budget, and some at random
 OLD_MS = 5_000  # a datagram sent longer ago, or so far ahead, is not taken
 WINDOW = 64  # numbers of one sender that are told from repeats
+RECALL_US = 100_000  # between two of a fresh start's questions to those that have not answered yet
 READ_S = 500  # datagrams read in a second, at most
 BURST_S = 1.0  # bytes that may leave at once, in seconds of their budget
 TELL_US = 500_000  # between two tellings of counts and judgements
 COUNTS = 24  # totals that are told at a time, at most
 JUDGES = 8  # judgements
-RANK: dict[type[Item], int] = {Ack: 0, Ping: 1, PingFor: 1, Release: 2, Grant: 2, Want: 3, Fact: 4, Judge: 5,
-                               Count: 6, Here: 7}  # fmt: skip - the most useful first
+# The most useful first.
+_RANKS: tuple[tuple[type[Item], ...], ...] = (
+    (Ack,), (Ping, PingFor), (Release, Recall, Cleared, Grant), (Want,), (Fact,), (Judge,), (Count,), (Here,))
+RANK = {kind: place for place, kinds in enumerate(_RANKS) for kind in kinds}
 
 
 @dataclass(frozen=True, slots=True)
 class Tuning:
     """What the operators or the platform's settings say."""
 
-    bytes_s: float = 8192.0  # that may leave, in a second
-    error_us: int = 50_000  # by which two clocks may differ over the span of a loan
+    bytes_s: float = BYTES_S  # that may leave, in a second
+    error_us: int = ERROR_US  # by which two clocks may differ over the span of a loan
     counts: bool = False  # whether totals are told: where nodes' answers do not
     further: float = 0.0  # further attempts a second, of all brokers; 0: they have no budget of the fleet
 
@@ -178,9 +184,9 @@
         self.members = Members(roster, life, seed, now_us)
         self.ledger = Ledger(roster.me, life, self._random.randrange(1, 1 << 30), self.tuning.error_us,
                              now_us).among(roster.others)  # fmt: skip
-        self.rates = Rates()
+        self.rates, self.cold_rates = Rates(), Rates(COLD_US)
         self.evidence, self.hearsay, self.shared = Evidence(), Hearsay(), Counts()
-        self._told_us = now_us
+        self._told_us = self._recall_us = now_us
         self.flaws: defaultdict[Flaw, int] = defaultdict(int)
         self.counts: defaultdict[str, int] = defaultdict(int)
         self._limits: dict[int, tuple[float, int]] = {}  # of volumes: units a second, and when last used
@@ -226,7 +232,7 @@
     def asked(self, shard: int, units: float, now_us: int) -> None:
         """A request for a shard was asked for."""
         if shard in self._cold:
-            self.rates.add(self._cold[shard].key, units, now_us, COLD_TOP)
+            self.cold_rates.add(self._cold[shard].key, units, now_us, COLD_TOP)
 
     def tried(self, now_us: int) -> None:
         """A further attempt was wanted, made or not."""
@@ -276,8 +282,8 @@
         return actions
 
     def _busy(self) -> bool:
-        return bool(self.ledger.active or self._limits or self._cold or self.tuning.further
-                    or self.tuning.counts)
+        return bool(self.members.state is State.JOINING or self.ledger.active or self._limits or self._cold
+                    or self.tuning.further or self.tuning.counts)
 
     def _chilled(self, event: Chilled, now_us: int) -> None:
         key = (int(Kind.COLD), event.key)
@@ -365,10 +371,14 @@
             self.counts["loans.given" if grant.parts else "loans.refused"] += 1
             self._queue([(who, grant)])
         elif isinstance(item, Grant):
-            if self.ledger.lent_to_me(who, item, now_us) and item.parts:
+            if self.ledger.lent_to_me(who, head.life, item, now_us) and item.parts:
                 self.counts["loans.taken"] += 1
         elif isinstance(item, Release):
             self.counts["loans.returned"] += self.ledger.returned(who, head.life, item)
+        elif isinstance(item, Recall):
+            self._queue([(who, self.ledger.recalled(who, head.life))])
+        elif isinstance(item, Cleared):
+            self.counts["floors.over"] += self.ledger.cleared(who, item, now_us)
         elif isinstance(item, Judge):
             seen_us = now_us - item.age_ms * 1000
             told = self.hearsay.told(who, item.node, item.what, item.weight, seen_us, now_us)
@@ -391,12 +401,16 @@
 
     def _tick(self, now_us: int) -> None:
         """Follow the demand: ask for what is missing, give back what is not needed."""
+        if now_us < self.ledger.whole_us and self.roster.size <= FAN + 1 and now_us >= self._recall_us:
+            self._recall_us = now_us + RECALL_US
+            self._queue([(who, Recall()) for who in self.ledger.unclear()])
         if now_us >= self.ledger.whole_us and self.members.state is State.JOINING:
             self.members.announce(State.UP)
         wanted: dict[int, list[Want]] = {}
-        for key in self.rates.known():
+        wanted_of = [*self.rates.known(), *self.cold_rates.known()]
+        for key in wanted_of:
             self._need(key, now_us)
-        for key in self.ledger.due(self.rates.known(), now_us):
+        for key in self.ledger.due(wanted_of, now_us):
             want = self.ledger.ask(key, now_us)
             for who in self._whom(key):
                 wanted.setdefault(who, []).append(want)
@@ -408,7 +422,7 @@
         for shard, cold in list(self._cold.items()):
             if now_us >= cold.until_us:
                 del self._cold[shard]
-                self.rates.forget(cold.key)
+                self.cold_rates.forget(cold.key)
         if now_us - self._swept_us > IDLE_US:
             self._swept_us = now_us
             for key in self.ledger.sweep(now_us, IDLE_US):
@@ -435,7 +449,8 @@
         pool = self.ledger.pools.get(key)
         if pool is None:
             return
-        rate = self.rates.rate(key, now_us) * AHEAD
+        rates = self.cold_rates if key[0] == Kind.COLD else self.rates
+        rate = rates.rate(key, now_us) * AHEAD
         if key[0] == Kind.LIMIT:
             limit = self._limits.get(key[1], (0.0, 0))[0]
             pool.need = min(WHOLE, int(rate / limit * WHOLE)) if limit else 0
--- a/lemonridge/fleet/wire.py
+++ b/lemonridge/fleet/wire.py
@@ -128,6 +128,22 @@
     ask: int
 
 
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """This incarnation of mine has just begun: use nothing any more that one before lent you, and say so.
+    Filled up to the length of its answer."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<8x")
+
+
+@dataclass(frozen=True, slots=True)
+class Cleared:
+    """Nothing is used that an incarnation before `life` lent, nor will be."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<Q")
+    life: int
+
+
 @dataclass(frozen=True, slots=True)
 class Count:
     """All that the sender's incarnation has counted of `kind`/`key` so far, in thousandths."""
@@ -156,8 +172,9 @@
     LAYOUT: ClassVar[Struct] = Struct("")
 
 
-Item = Ping | Ack | PingFor | Fact | Want | Grant | Release | Count | Judge | Here
-KINDS: tuple[type[Item], ...] = (Ping, Ack, PingFor, Fact, Want, Grant, Release, Count, Judge, Here)
+Item = Ping | Ack | PingFor | Fact | Want | Grant | Release | Recall | Cleared | Count | Judge | Here
+KINDS: tuple[type[Item], ...] = (Ping, Ack, PingFor, Fact, Want, Grant, Release, Recall, Cleared, Count,
+                               Judge, Here)
 _CODES = {kind: code for code, kind in enumerate(KINDS, 1)}
 _FIELDS = {kind: tuple(kind.__slots__) for kind in KINDS}
 
--- a/lemonridge/lab/bent.py
+++ b/lemonridge/lab/bent.py
@@ -33,8 +33,8 @@
 
     real = escrow.Ledger.lent_to_me
 
-    def lent(self: escrow.Ledger, peer: int, told: Grant, now_us: int) -> bool:
-        done = real(self, peer, told, now_us)
+    def lent(self: escrow.Ledger, peer: int, life: int, told: Grant, now_us: int) -> bool:
+        done = real(self, peer, life, told, now_us)
         for pool in self.pools.values():
             for one in pool.borrowed.values():
                 one.end_us = now_us + 3_600_000_000
--- a/lemonridge/lab/checkers/escrow.py
+++ b/lemonridge/lab/checkers/escrow.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 
 from lemonridge.fleet.escrow import SPAN_US, WHOLE, Borrowed, Key, Kind, Ledger, Loan, Pool
-from lemonridge.fleet.wire import Grant, Item, Release, Want
+from lemonridge.fleet.wire import Cleared, Grant, Item, Recall, Release, Want
 from lemonridge.lab.checkers.exhaust import Found, explore
 
 STEP_US = SPAN_US // 3
@@ -35,6 +35,7 @@
     doubles: int = 1
     crashes: int = 1
     lags: int = 1  # clocks that lose the stated error
+    recalls: int = 2  # questions of a fresh start
     budgets: tuple[Key, ...] = (ALL_USE, TWO_USE)
 
 
@@ -58,6 +59,7 @@
     doubles: int
     crashes: int
     slow: int
+    recalls: int
 
 
 def ledger(number: int, life: int, now_us: int) -> Ledger:
@@ -70,7 +72,7 @@
     ledgers = tuple(_begun(make(number, 1, START_US - 10 * SPAN_US), START_US, bounds)
                     for number in range(BROKERS))  # fmt: skip
     start = State(START_US, ledgers, (0,) * BROKERS, (), bounds.asks, bounds.doubles, bounds.crashes,
-                  bounds.lags)  # fmt: skip
+                  bounds.lags, bounds.recalls)  # fmt: skip
     return explore(start, _key, lambda state: _moves(state, bounds, make), _wrong, states_max)
 
 
@@ -107,6 +109,7 @@
             yield f"{number} starts anew", replace(
                 state, ledgers=_with(state, number, fresh), crashes=state.crashes - 1)
         yield from _asks(state, number, bounds)
+        yield from _recalls(state, number, bounds)
         for key in bounds.budgets:
             pool = state.ledgers[number].pools.get(key)
             if pool is not None and pool.borrowed:
@@ -148,6 +151,18 @@
                 asks=state.asks - 1)
 
 
+def _recalls(state: State, number: int, bounds: Bounds) -> Iterable[tuple[str, State]]:
+    """A fresh start asks the others to use nothing that it lent before."""
+    made = state.ledgers[number]
+    if _clock(state, number) >= made.whole_us or len(state.flights) >= bounds.flights or not state.recalls:
+        return
+    for to in made.unclear():
+        sent = Message(number, to, made.life, Recall())
+        if sent not in state.flights:
+            yield f"{number} recalls what {to} has", replace(
+                state, flights=_sorted((*state.flights, sent)), recalls=state.recalls - 1)
+
+
 def _deliver(state: State, message: Message, rest: tuple[Message, ...], bounds: Bounds) -> State | None:
     made, now_us = clone(state.ledgers[message.to]), _clock(state, message.to)
     if isinstance(message.item, Want):
@@ -156,7 +171,14 @@
             return None
         rest = _sorted((*rest, Message(message.to, message.source, made.life, grant)))
     elif isinstance(message.item, Grant):
-        made.lent_to_me(message.source, message.item, now_us)
+        made.lent_to_me(message.source, message.life, message.item, now_us)
+    elif isinstance(message.item, Recall):
+        said = made.recalled(message.source, message.life)
+        if len(rest) >= bounds.flights:
+            return None
+        rest = _sorted((*rest, Message(message.to, message.source, made.life, said)))
+    elif isinstance(message.item, Cleared):
+        made.cleared(message.source, message.item, now_us)
     elif isinstance(message.item, Release):
         made.returned(message.source, message.life, message.item)
     return replace(state, ledgers=_with(state, message.to, made), flights=rest)
@@ -174,7 +196,7 @@
     """A copy that shares nothing that changes; of the same class, faults included."""
     other = object.__new__(type(made))
     other.__dict__.update(made.__dict__)
-    other.active = set()
+    other.active, other._recalled, other._clear = set(), dict(made._recalled), set(made._clear)
     other.pools = {
         key: Pool(pool.base, pool.hosts, pool.holds, pool.need,
                   {who: list(rows) for who, rows in pool.lent.items()},
@@ -187,11 +209,13 @@
     """Times relative to each broker's clock, and nothing of what is over."""
     return (tuple(_seen(state.ledgers[n], _clock(state, n)) for n in range(BROKERS)), state.lags,
             tuple((m.source, m.to, m.life, m.item) for m in state.flights),
-            state.asks, state.doubles, state.crashes, state.slow)  # fmt: skip
+            state.asks, state.doubles, state.crashes, state.slow, state.recalls)  # fmt: skip
 
 
 def _seen(made: Ledger, now_us: int) -> Hashable:
-    return (made.life, made._ask, max(0, made.whole_us - now_us), tuple(
+    fresh = max(0, made.whole_us - now_us)
+    return (made.life, made._ask, fresh, tuple(sorted(made._recalled.items())),
+            tuple(sorted(made._clear)) if fresh else (), tuple(
         (key, pool.base, pool.holds, pool.released, tuple(sorted(pool.users)),
          tuple(sorted((who, _loan(row, now_us)) for who, rows in pool.lent.items() for row in rows
                       if row.end_us > now_us)),
@@ -215,8 +239,8 @@
 class KeepsForEver(Ledger):
     """Planted: a loan's end is not kept by the borrower."""
 
-    def lent_to_me(self, peer: int, told: Grant, now_us: int) -> bool:
-        done = super().lent_to_me(peer, told, now_us)
+    def lent_to_me(self, peer: int, life: int, told: Grant, now_us: int) -> bool:
+        done = super().lent_to_me(peer, life, told, now_us)
         for pool in self.pools.values():
             pool.borrowed = {who: Borrowed(one.ask, one.parts, one.end_us + 10 * SPAN_US)
                              for who, one in pool.borrowed.items()}  # fmt: skip
@@ -234,11 +258,11 @@
 class FromReceipt(Ledger):
     """Planted: the borrower counts a loan from when the answer came."""
 
-    def lent_to_me(self, peer: int, told: Grant, now_us: int) -> bool:
+    def lent_to_me(self, peer: int, life: int, told: Grant, now_us: int) -> bool:
         pool = self.pools.get((told.kind, told.key))
         if pool is not None and told.ask in pool.asks:
             pool.asks[told.ask] = now_us
-        return super().lent_to_me(peer, told, now_us)
+        return super().lent_to_me(peer, life, told, now_us)
 
 
 class ForgetsItsLoans(Ledger):
@@ -259,6 +283,21 @@
         return sent
 
 
+class HearsTheDead(Ledger):
+    """Planted: a grant of a lender's incarnation before counts after its recall was answered."""
+
+    def lent_to_me(self, peer: int, life: int, told: Grant, now_us: int) -> bool:
+        return super().lent_to_me(peer, 1 << 62, told, now_us)
+
+
+class ClearsTooSoon(Ledger):
+    """Planted: a fresh start has all of its own once one other has answered."""
+
+    def cleared(self, peer: int, told: Cleared, now_us: int) -> bool:
+        self._clear.update(self._others)
+        return super().cleared(peer, told, now_us)
+
+
 class CountsAll(Ledger):
     """Planted: loans of brokers that do not use the budget count like those of users."""
 
@@ -267,7 +306,7 @@
 
 
 PLANTED: tuple[type[Ledger], ...] = (LendsUnlowered, KeepsForEver, NoMargin, FromReceipt, ForgetsItsLoans,
-                                     TakesReturned, CountsAll)
+                                     TakesReturned, HearsTheDead, ClearsTooSoon, CountsAll)
 
 
 def planted(kind: type[Ledger]) -> Make:
--- a/lemonridge/simhost.py
+++ b/lemonridge/simhost.py
@@ -11,6 +11,9 @@
 from typing import Any, TextIO
 
 from lemonridge import api
+from lemonridge.fleet.companion import Companion
+from lemonridge.fleet.machine import Tell
+from lemonridge.fleet.roster import MEMBERS_MAX, Roster
 from lemonridge.policy import Scheduler
 from lemonridge.settings import SettingsError, settings_from
 
@@ -94,12 +97,59 @@
     return ["stream-changes", who, True]
 
 
+class Instance:
+    """One broker: its scheduler, and its part in the fleet where it speaks to the others."""
+
+    def __init__(self, facts: Any, seed: int, now: int, peers: bool) -> None:
+        settings = settings_from(facts)
+        self.scheduler = Scheduler(settings, seed)
+        self.companion: Companion | None = None
+        self.wake_us: int | None = None  # asked for, of either
+        if peers and facts["limits"].get("peers") and 2 <= settings.hosts <= MEMBERS_MAX:
+            roster = Roster(tuple(map(str, range(settings.hosts))), int(facts["me"]))
+            self.companion = Companion(roster, now // 1000, seed, now, settings)
+
+    def handle(self, now: int, events: list[api.Event], heard: list[tuple[int, bytes]]
+               ) -> tuple[list[api.Action], list[Tell]]:
+        """Decide: the decisions go by what the fleet's machine has before they are told anything else."""
+        companion = self.companion
+        if companion is None:
+            return self.scheduler.handle(now, events), []
+        for source, data in heard:
+            companion.received(source, data, now)
+        told: list[api.Event] = []
+        for event in events:
+            if isinstance(event, api.Arrived):
+                companion.arrived(event, now)
+            elif isinstance(event, api.Listed):
+                companion.listed(event.entries)
+            elif isinstance(event, api.Ended):
+                companion.ended(event, now)
+            told += [*self._events(companion), event]
+        if now >= companion.wake_us:
+            companion.woke(now)
+        actions = self.scheduler.handle(now, [*self._events(companion), *told])
+        for action in list(actions):
+            if isinstance(action, api.Chilled):
+                companion.chilled(action, now)
+        if later := self._events(companion):
+            actions += self.scheduler.handle(now, later)
+        tells, companion.tells = companion.tells, []
+        return [*actions, api.Wake(companion.wake_us)], tells
+
+    def _events(self, companion: Companion) -> list[api.Event]:
+        events, companion.events = companion.events, []
+        return events
+
+
 class Host:
     """All instances of one process; they share nothing but the pages of list entries."""
 
-    def __init__(self) -> None:
-        self.instances: dict[int, Scheduler] = {}
+    def __init__(self, peers: bool = False) -> None:
+        self.instances: dict[int, Instance] = {}
         self.pages: dict[int, tuple[api.Entry, ...]] = {}
+        self.heard: dict[int, list[tuple[int, bytes]]] = {}
+        self.peers, self.now = peers, 0
 
     def batch(self, line: str) -> str:
         """Answer one line."""
@@ -111,6 +161,7 @@
         except (ValueError, KeyError, TypeError):
             raise WireError("a batch must be an object with 'time-us' and 'happened'") from None
         waiting: dict[int, list[api.Event]] = {}
+        self.now = now
         for item in happened:
             try:
                 self._take(item, waiting)
@@ -129,7 +180,8 @@
             self.pages[who] = tuple(map(_entry, item[2]))
             return
         if name == "provision":
-            self.instances[who] = Scheduler(settings_from(item[3]), int(item[2]))
+            self.instances[who] = Instance(item[3], int(item[2]), self.now, self.peers)
+            self.heard.pop(who, None)
             waiting[who] = []
             return
         if who not in self.instances:
@@ -153,7 +205,11 @@
             kind = LIST_KINDS[item[2]]
             broken = kind is api.ListKind.BROKEN
             event = api.Listed(kind, () if broken else self.pages[item[4]])
-        elif name in ("pong", "peer-data"):
+        elif name == "peer-data":
+            self.heard.setdefault(who, []).append((int(item[2]), bytes.fromhex(item[3])))
+            waiting.setdefault(who, [])
+            return
+        elif name == "pong":
             waiting.setdefault(who, [])
             return
         else:
@@ -162,15 +218,16 @@
 
     def _decide(self, who: int, now: int, events: list[api.Event]) -> Iterable[list[Any]]:
         try:
-            actions = self.instances[who].handle(now, events)
+            actions, tells = self.instances[who].handle(now, events, self.heard.pop(who, []))
         except Exception as error:  # the wire wants a broken policy reported, whatever broke
             return [["fault", who, f"{type(error).__name__}: {error}"]]
-        return [_order(who, action) for action in actions if not isinstance(action, api.Chilled)]
+        orders = [_order(who, action) for action in actions if not isinstance(action, api.Chilled)]
+        return [*orders, *(["memo-to", who, one.to, one.data.hex()] for one in tells)]
 
 
-def run(source: TextIO, sink: TextIO) -> None:
-    """Answer every line of `source` until it ends."""
-    host = Host()
+def run(source: TextIO, sink: TextIO, peers: bool = False) -> None:
+    """Answer every line of `source` until it ends; `peers` lets the instances speak to each other."""
+    host = Host(peers)
     for line in source:
         sink.write(host.batch(line) + "\n")
         sink.flush()
@@ -179,7 +236,7 @@
 def main() -> int:
     """Serve standard input; a malformed line ends it with one plain line on standard error."""
     try:
-        run(sys.stdin, sys.stdout)
+        run(sys.stdin, sys.stdout, sys.argv[1:] == ["--peers"])
     except (WireError, SettingsError) as error:
         print(f"lemonridge: {error}", file=sys.stderr)
         return 2
--- a/tests/test_fleet_escrow.py
+++ b/tests/test_fleet_escrow.py
@@ -11,21 +11,22 @@
 
 import lemonridge.fleet.escrow as escrow_module
 from lemonridge.fleet.escrow import FLOOR, SPAN_US, WHOLE, Kind, Ledger
-from lemonridge.fleet.wire import Grant, Release, Want
+from lemonridge.fleet.wire import Cleared, Grant, Item, Recall, Want
 from lemonridge.lab.checkers import escrow
 from lemonridge.lab.checkers.escrow import ALL_USE, PLANTED, TWO_USE, Bounds, planted, search
 
 TIGHT = {"KeepsForEver": Bounds(1, doubles=0, crashes=0, lags=0), "NoMargin": Bounds(1, doubles=0, crashes=0),
          "FromReceipt": Bounds(1, doubles=0, crashes=0, lags=0),
-         "TakesReturned": Bounds(1, crashes=0, lags=0)}  # fmt: skip
+         "TakesReturned": Bounds(1, crashes=0, lags=0),
+         "HearsTheDead": Bounds(1, doubles=0, lags=0, budgets=(TWO_USE,))}  # fmt: skip
 
 
 class EveryState(unittest.TestCase):
     """Three brokers, two budgets; docs/fleet-state.md tells the larger bounds, which a command runs."""
 
     def test_no_state_passes_a_budget(self) -> None:
-        for bounds in (Bounds(1, doubles=0), Bounds(1, crashes=0, lags=0, budgets=(TWO_USE,)),
-                       Bounds(2, flights=1, doubles=0, crashes=0, budgets=(TWO_USE,))):  # fmt: skip
+        for bounds in (Bounds(1, doubles=0, lags=0, recalls=1, budgets=(TWO_USE,)),
+                       Bounds(1, crashes=0), Bounds(2, flights=1, doubles=0, crashes=0, budgets=(TWO_USE,))):
             found = search(bounds)
             self.assertEqual((found.broken, found.whole), ("", True), found.path)
             self.assertGreater(found.states, 1000)
@@ -62,7 +63,7 @@
 
         key, most = (int(Kind.LIMIT), 7), 0
         ledgers = [make(n, 1) for n in range(brokers)]
-        flights: list[tuple[int, int, int, Want | Grant | Release]] = []
+        flights: list[tuple[int, int, int, Item]] = []
         now += 3 * SPAN_US
         for _ in range(400):
             now += random.choice((0, 1000, 50_000, 400_000))
@@ -76,6 +77,8 @@
                 flights += [(n, to, ledgers[n].life, item) for to, item in ledgers[n].give_back(key)]
             elif what < 0.36:
                 ledgers[n] = make(n, ledgers[n].life + 1)
+            if clock(n) < ledgers[n].whole_us:
+                flights += [(n, o, ledgers[n].life, Recall()) for o in ledgers[n].unclear()]
             for _ in range(random.randrange(8)):
                 if not flights:
                     break
@@ -88,8 +91,12 @@
                 if isinstance(item, Want):
                     grant = ledgers[to].asked(by, life, item, clock(to))
                     flights.append((to, by, ledgers[to].life, grant))
+                elif isinstance(item, Recall):
+                    flights.append((to, by, ledgers[to].life, ledgers[to].recalled(by, life)))
+                elif isinstance(item, Cleared):
+                    ledgers[to].cleared(by, item, clock(to))
                 elif isinstance(item, Grant):
-                    ledgers[to].lent_to_me(by, item, clock(to))
+                    ledgers[to].lent_to_me(by, life, item, clock(to))
                 else:
                     ledgers[to].returned(by, life, item)
             del flights[:-40]
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -327,10 +327,10 @@
         ledger = net.fleets[0].ledger
         key = (int(Kind.LIMIT), 5)
         before = ledger.slice(key, net.now)
-        self.assertFalse(ledger.lent_to_me(1, Grant(*key, 12345, WHOLE, 1), net.now))
+        self.assertFalse(ledger.lent_to_me(1, NOW, Grant(*key, 12345, WHOLE, 1), net.now))
         self.assertEqual(ledger.slice(key, net.now), before)
         want = ledger.ask(key, net.now)
-        self.assertFalse(ledger.lent_to_me(1, Grant(*key, want.ask, 1000, 1), net.now + SPAN_US))
+        self.assertFalse(ledger.lent_to_me(1, NOW, Grant(*key, want.ask, 1000, 1), net.now + SPAN_US))
 
     def test_a_judgement_about_nodes_has_a_place_in_a_datagram(self) -> None:
         items = [Judge(n, 1, 1, 0) for n in range(15)]
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -67,7 +67,7 @@
     host.batch(line(*begin(), ASK))
     events = [["kill", 3], *begin()]
     assert not [o for o in orders(host.batch(line(*events))) if o[0] == "issue"]
-    assert not host.instances[3].requests
+    assert not host.instances[3].scheduler.requests
 
 
 def test_empty_batch() -> None:
