--- a/lemonridge/fleet/escrow.py
+++ b/lemonridge/fleet/escrow.py
@@ -25,6 +25,7 @@
 SPAN_US = 1_500_000  # of a loan: what a dead borrower keeps from others, against questions a second
 ASK_US = 400_000  # between two questions for the same budget: a loan outlives two that are lost
 FLOOR = 20  # one part of so many of what is its own is never lent: what stays idle when all of it is lent
+COLD_FLOOR = 2  # the same at a cold node, where a broker sees a request now and then
 LEAST = 1000  # parts under this are not worth a loan
 POOLS_MAX = 8192  # budgets that are kept; past it nothing new is lent or borrowed
 ASKS_MAX = 8  # questions remembered for a budget
@@ -76,10 +77,11 @@
     released: int = 0  # answers up to this question are not taken any more
     asked_us: int = 0
     used_us: int = 0
+    floors: int = FLOOR  # of how many parts of its own it never lends one
 
     @property
     def floor(self) -> int:
-        return self.base // FLOOR
+        return self.base // self.floors
 
     def out(self, now_us: int, but: int = -1) -> int:
         """Parts that others may be using, as far as this broker can know."""
@@ -133,7 +135,8 @@
             if len(self.pools) >= POOLS_MAX:
                 self.refused += 1
                 return None
-            pool = self.pools[key] = Pool(base, hosts)
+            floors = COLD_FLOOR if key[0] == Kind.COLD else FLOOR
+            pool = self.pools[key] = Pool(base, hosts, floors=floors)
         elif hosts > pool.hosts:
             pool.base, pool.hosts = min(pool.base, base), hosts
         pool.holds = pool.holds or holds
