Wake the model's brokers when their module asks for it: no timer ever came

Cause: lab/model counted the wait from the model's zero, the module's clock from 1,000 s later, so each timer came 1,000 s late, that is never; decisions ran only when something else happened. Found while the fleet's machine, which lives by its timers, was put into the model.

Change: the wait is counted on the module's clock; a test with a module that asks to be woken fails without it.

--- a/lemonridge/lab/model/world.py
+++ b/lemonridge/lab/model/world.py
@@ -76,7 +76,7 @@
                 if request is not None:
                     self.world.ended(request, action.attempt, api.Result.CANCELLED, 0.0)
             elif isinstance(action, api.Wake):
-                wait = max(0.0, action.at_us - self.world.now())
+                wait = max(0.0, float(action.at_us - self.world.clock_us()))
                 self.world.after(wait, partial(self._woke, life))
 
     def _woke(self, life: int) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -256,3 +256,23 @@
     assert told["lost"] == 0 and int(str(told["after_return"])) > 0 and int(str(told["refused"])) > 0
     assert int(str(told["served"])) * 2 > int(str(told["due"])) > 400
     assert any("dies" in text for text in said) and any("cold" in text for text in said)
+
+
+def test_a_broker_of_the_model_is_woken_when_its_module_asks_for_it() -> None:
+    """The wait was counted from another zero than the module's clock: no timer ever came."""
+    world = World(read_scenario({
+        "nodes": {"count": 2}, "brokers": 1, "hosts": 1, "volumes": 2,
+        "classes": [{"name": "read", "share": 1.0, "work_ms": 20, "aim_ms": 300, "deadline_ms": 1000}],
+        "plans": [{"name": "basic", "share": 1.0, "rate": 10}]}), 1)
+    seen: list[tuple[int, list[api.Event]]] = []
+
+    class Asks:
+        def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+            seen.append((now_us, list(events)))
+            return [api.Wake(now_us + 5000)] if len(seen) == 1 else []
+
+    world.brokers[0].scheduler = Asks()  # type: ignore[assignment]
+    world.brokers[0].tell(api.Gone("nobody"))
+    world.env.run(until=20_000)
+    assert [type(event) for _, events in seen for event in events] == [api.Gone, api.Woke]
+    assert seen[1][0] - seen[0][0] <= 7000
