--- a/lemonridge/fleet/companion.py
+++ b/lemonridge/fleet/companion.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from lemonridge import api
 from lemonridge.fleet import machine
@@ -36,6 +36,9 @@
         api.Result.UNREACHED: Seen.UNREACHED, api.Result.TIMEOUT: Seen.SILENT}  # fmt: skip
 
 
+Decide = Callable[[int, Iterable[api.Event]], list[api.Action]]  # a scheduler's `handle`
+
+
 class Companion:
     """`events` and `tells` grow with each call, in the order in which they must go; the host takes them. The
     events come before whatever else the decisions are told from then on."""
@@ -144,3 +147,36 @@
         node = self.nodes.get(verdict.node)
         if node is not None and verdict.what is not What.COLD:
             self.events.append(api.Judged(node, verdict.sources, verdict.agreed, verdict.at_us))
+
+
+def decide(handle: Decide, companion: Companion, now_us: int, events: Sequence[api.Event],
+           heard: Iterable[tuple[int, bytes]]) -> tuple[list[api.Action], list[Tell]]:
+    """One moment of a scheduler and its companion, for hosts whose events come in batches: the decisions, the
+    datagrams to send, and in `companion.wake_us` when to come again at the latest. The decisions are told of
+    a slice before anything that came with or after it."""
+    told: list[api.Event] = []
+
+    def take() -> list[api.Event]:
+        taken, companion.events = companion.events, []
+        return taken
+
+    for source, data in heard:
+        companion.received(source, data, now_us)
+    for event in events:
+        if isinstance(event, api.Arrived):
+            companion.arrived(event, now_us)
+        elif isinstance(event, api.Listed):
+            companion.listed(event.entries)
+        elif isinstance(event, api.Ended):
+            companion.ended(event, now_us)
+        told += [*take(), event]
+    if now_us >= companion.wake_us:
+        companion.woke(now_us)
+    actions = handle(now_us, [*take(), *told])
+    for action in list(actions):
+        if isinstance(action, api.Chilled):
+            companion.chilled(action, now_us)
+    if later := take():
+        actions += handle(now_us, later)
+    tells, companion.tells = companion.tells, []
+    return actions, tells
--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -193,7 +193,7 @@
         self._cold: dict[int, _Cold] = {}  # by shard
         self._told: dict[Key, Slice] = {}
         self._senders = [_Sender() for _ in roster.names]
-        self._number = 0
+        self._numbers = [0] * roster.size  # of the datagrams to each: gaps tell the other what was lost
         self._room, self._room_us = self.tuning.bytes_s * BURST_S, now_us
         self._reads, self._reads_us = 0, now_us
         self._tick_us = self._swept_us = now_us
@@ -518,9 +518,9 @@
             if not self._afford(frame + sum(map(size, part)), now_us):
                 self.counts["items.left_out"] += len(part) + len(items)
                 return
-            self._number += 1
+            self._numbers[who] += 1
             head = Head(self.roster.me, self.members.state, self.members.life, self.members.round,
-                        self._number, now_us // 1000 % WRAP)
+                        self._numbers[who], now_us // 1000 % WRAP)
             data = encode(head, part, self.roster.mark, self._tagger)
             self.counts["datagrams.sent"] += 1
             self.counts["bytes.sent"] += len(data)
--- a/lemonridge/lab/model/outcome.py
+++ b/lemonridge/lab/model/outcome.py
@@ -45,6 +45,7 @@
         self._scenario = scenario
         self.lines = [Line() for _ in scenario.classes]
         self.attempts = self.wasted = self.fallen = 0
+        self.message_bytes = 0
         self.troubles: dict[str, int] = {}
         self.asked_units: dict[tuple[int, int], float] = {}  # (volume, second) -> units asked for
         self.served_units: dict[tuple[int, int], float] = {}
@@ -123,6 +124,7 @@
                for name in ("in_time", "late", "refused", "failed", "lost")},
             "attempts": self.attempts, "p50_ms": _part(took, 0.5), "p99_ms": _part(took, 0.99),
             "reserves": round(self.reservations(), 6), "over_limit": self.over_limit, "fallen": self.fallen,
+            **({"message_bytes": self.message_bytes} if self._scenario.peers else {}),
         }  # fmt: skip
 
     def digest(self) -> str:
--- a/lemonridge/lab/model/spec.py
+++ b/lemonridge/lab/model/spec.py
@@ -89,8 +89,13 @@
     plans: Annotated[list[PlanSpec], Meta(min_length=1)]
     volumes: Count = 40
     hosts: Count = 2  # brokers that a volume works through
+    lead: Share = 0.0  # part of its requests that come through one of them, the next after `lead_s`
+    lead_s: Positive = 10.0
     delay_ms: tuple[Figure, Figure] = (0.2, 1.4)  # one way
     loss: Share = 0.0
+    peers: bool = False  # brokers speak to each other
+    message_ms: tuple[Figure, Figure] = (1.4, 35)  # one way, between brokers
+    message_loss: Share = 0.0
     register_ms: tuple[Figure, Figure] = (500, 2500)  # until a broker hears of a change
     retries: Annotated[int, Meta(ge=0, le=5)] = 1  # of a client
     retry_ms: Figure = 300
--- a/lemonridge/lab/model/world.py
+++ b/lemonridge/lab/model/world.py
@@ -17,6 +17,9 @@
 import simpy
 
 from lemonridge import api
+from lemonridge.fleet.companion import Companion, decide
+from lemonridge.fleet.machine import Tell
+from lemonridge.fleet.roster import Roster
 from lemonridge.lab.model.baselines import make
 from lemonridge.lab.model.node import Node, Work
 from lemonridge.lab.model.outcome import Outcome
@@ -47,6 +50,34 @@
         self.events: list[api.Event] = []
         self.cpu_s, self.decided, self.life = 0.0, 0, 0
         self._due = False
+        self.heard: list[tuple[int, bytes]] = []  # datagrams of other brokers, until the next decision
+        self.companion: Companion | None = None
+
+    def begin(self) -> None:
+        """Speak to the other brokers, where the scenario says so."""
+        if not self.world.scenario.peers or self.world.scenario.brokers < 2:
+            return
+        now_us = self.world.clock_us()
+        roster = Roster(tuple(map(str, range(self.world.scenario.brokers))), self.number)
+        seed = self.world.seed * 31 + self.number
+        self.companion = Companion(roster, now_us // 1000 + self.life, seed, now_us, self.world.settings)
+        self._later()
+
+    def hear(self, source: int, data: bytes) -> None:
+        """A datagram of another broker."""
+        if self.up:
+            self.heard.append((source, data))
+            self.tell(api.Woke())
+
+    def _later(self) -> None:
+        """Come again when the companion wants to; what was asked for before costs a look."""
+        assert self.companion is not None
+        wait = max(0.0, float(self.companion.wake_us - self.world.clock_us()))
+        self.world.after(wait, partial(self._due_now, self.life, self.companion.wake_us))
+
+    def _due_now(self, life: int, at_us: int) -> None:
+        if life == self.life and self.up and self.companion is not None and self.companion.wake_us == at_us:
+            self.tell(api.Woke())
 
     def tell(self, event: api.Event) -> None:
         self.events.append(event)
@@ -61,7 +92,15 @@
         self._due = False
         events, self.events = self.events, []
         began = time.perf_counter()
-        actions = self.scheduler.handle(self.world.clock_us(), events)
+        now_us, tells = self.world.clock_us(), list[Tell]()
+        if self.companion is None:
+            actions = self.scheduler.handle(now_us, events)
+        else:
+            heard, self.heard = self.heard, []
+            actions, tells = decide(self.scheduler.handle, self.companion, now_us, events, heard)
+            self._later()
+        for one in tells:
+            self.world.pass_on(self, one.to, one.data)
         self.cpu_s += time.perf_counter() - began
         self.decided += len(events)
         for action in actions:
@@ -86,13 +125,14 @@
     def restart(self) -> None:
         """It knows nothing any more; what it held is lost to its clients until they ask again."""
         self.life += 1
-        self.events, self._due = [], False
+        self.events, self._due, self.heard = [], False, []
         for request in list(self.open.values()):
             self.world.answer(request, "lost", 0)
         self.open.clear()
         self.scheduler = make(self.world.scenario.policy, self.world.settings,
                               self.world.seed * 1009 + self.number + 7919 * self.life)
         self.up = True
+        self.begin()
         self.tell(api.Listed(api.ListKind.WHOLE, self.world.entries()))
 
 
@@ -197,6 +237,7 @@
 
     def run(self) -> Outcome:
         for broker in self.brokers:
+            broker.begin()
             broker.tell(api.Listed(api.ListKind.STALE, self.entries()))
         for trouble in self.scenario.troubles:
             self.after(trouble.at_s * 1e6, partial(self._trouble, trouble))
@@ -241,6 +282,9 @@
         cost *= (0.4 if cached else 1.0) * (self.heavy_times if heavy else 1.0)
         shard = -1 if row.new else volume.shards[draw.below(len(volume.shards))]
         host = volume.hosts[draw.below(len(volume.hosts))]
+        if self.scenario.lead and self.streams["leads"].uniform() < self.scenario.lead:
+            turn = int(self.now() / (self.scenario.lead_s * 1e6)) + volume.number
+            host = volume.hosts[turn % len(volume.hosts)]
         request = Request("", volume, cls, shard, units, cost, self.now(), 0.0, self.brokers[host])
         self.out.asked(request, self.now())
         self._ask(request)
@@ -279,6 +323,15 @@
         after = replace(request, again=request.again + 1, answered=False, attempts={}, made=0)
         self.after(wait, lambda: self._ask(after))
 
+    def pass_on(self, source: Broker, to: int, data: bytes) -> None:
+        """A datagram between brokers: late, or lost, or cut off in the other hall."""
+        self.out.message_bytes += len(data)
+        draw, other = self.streams["messages"], self.brokers[to]
+        lost, wait_ms = draw.uniform() < self.scenario.message_loss, draw.between(*self.scenario.message_ms)
+        if lost or (self.hall and source.number % 2 != to % 2):
+            return
+        self.after(wait_ms * 1000, partial(other.hear, source.number, data))
+
     # Attempts
 
     def send(self, broker: Broker, request: Request | None, name: str) -> None:
--- a/lemonridge/simhost.py
+++ b/lemonridge/simhost.py
@@ -11,7 +11,7 @@
 from typing import Any, TextIO
 
 from lemonridge import api
-from lemonridge.fleet.companion import Companion
+from lemonridge.fleet.companion import Companion, decide
 from lemonridge.fleet.machine import Tell
 from lemonridge.fleet.roster import MEMBERS_MAX, Roster
 from lemonridge.policy import Scheduler
@@ -104,7 +104,6 @@
         settings = settings_from(facts)
         self.scheduler = Scheduler(settings, seed)
         self.companion: Companion | None = None
-        self.wake_us: int | None = None  # asked for, of either
         if peers and facts["limits"].get("peers") and 2 <= settings.hosts <= MEMBERS_MAX:
             roster = Roster(tuple(map(str, range(settings.hosts))), int(facts["me"]))
             self.companion = Companion(roster, now // 1000, seed, now, settings)
@@ -115,32 +114,9 @@
         companion = self.companion
         if companion is None:
             return self.scheduler.handle(now, events), []
-        for source, data in heard:
-            companion.received(source, data, now)
-        told: list[api.Event] = []
-        for event in events:
-            if isinstance(event, api.Arrived):
-                companion.arrived(event, now)
-            elif isinstance(event, api.Listed):
-                companion.listed(event.entries)
-            elif isinstance(event, api.Ended):
-                companion.ended(event, now)
-            told += [*self._events(companion), event]
-        if now >= companion.wake_us:
-            companion.woke(now)
-        actions = self.scheduler.handle(now, [*self._events(companion), *told])
-        for action in list(actions):
-            if isinstance(action, api.Chilled):
-                companion.chilled(action, now)
-        if later := self._events(companion):
-            actions += self.scheduler.handle(now, later)
-        tells, companion.tells = companion.tells, []
+        actions, tells = decide(self.scheduler.handle, companion, now, events, heard)
         return [*actions, api.Wake(companion.wake_us)], tells
 
-    def _events(self, companion: Companion) -> list[api.Event]:
-        events, companion.events = companion.events, []
-        return events
-
 
 class Host:
     """All instances of one process; they share nothing but the pages of list entries."""
