Let the users of a limit find each other in a large fleet by two places of its key

Change: whoever uses a limit says so to two brokers, by the highest random weight of the limit's key, and each answer hints at one other user, who is asked next. They only know: what counts is still what a user says itself, so a wrong hint costs a question.

--- a/lemonridge/fleet/escrow.py
+++ b/lemonridge/fleet/escrow.py
@@ -29,6 +29,7 @@
 LEAST = 1000  # parts under this are not worth a loan
 POOLS_MAX = 8192  # budgets that are kept; past it nothing new is lent or borrowed
 ASKS_MAX = 8  # questions remembered for a budget
+HINTS_MAX = 8  # of a budget
 LOANS_MAX = 8  # loans of one borrower that have not ended; past it they count as one, the largest and longest
 
 
@@ -72,7 +73,9 @@
     need: int = 0  # of its own use, in parts
     lent: dict[int, list[Loan]] = field(default_factory=dict)
     borrowed: dict[int, Borrowed] = field(default_factory=dict)
-    users: set[int] = field(default_factory=set)  # others that said that they use it
+    users: set[int] = field(default_factory=set)  # others that said themselves that they use it
+    hints: set[int] = field(default_factory=set)  # others of whom that was said: to be asked, no more
+    turn: int = 0  # of the hints that are given
     asks: dict[int, int] = field(default_factory=dict)  # number -> when it was sent
     released: int = 0  # answers up to this question are not taken any more
     asked_us: int = 0
@@ -184,14 +187,17 @@
         return [key for key in keys if (pool := self.pools.get(key)) is not None
                 and pool.need > pool.base and pool.hosts > 1 and now_us - pool.asked_us >= ASK_US]
 
-    def ask(self, key: Key, now_us: int) -> Want:
-        """A question for what is missing; it is to leave at once."""
+    def ask(self, key: Key, now_us: int, parts: int | None = None) -> Want:
+        """A question for what is missing, or for `parts`; it is to leave at once. One for nothing says that
+        this broker uses the budget, and hears of others."""
         pool = self.pools[key]
         self._ask += 1
-        pool.asks[self._ask] = pool.asked_us = now_us
+        if parts is None:
+            parts, pool.asked_us = max(0, pool.need), now_us
+        pool.asks[self._ask] = now_us
         while len(pool.asks) > ASKS_MAX:
             del pool.asks[next(iter(pool.asks))]
-        return Want(key[0], key[1], min(255, pool.hosts), self._ask, max(0, pool.need), SPAN_US // 1000)
+        return Want(key[0], key[1], min(255, pool.hosts), self._ask, parts, SPAN_US // 1000)
 
     def lent_to_me(self, peer: int, life: int, told: Grant, now_us: int) -> bool:
         """An answer of one of the lender's incarnations. It counts from when its question was sent, replaces
@@ -199,8 +205,11 @@
         pool = self.pools.get((told.kind, told.key))
         if pool is None or life < self._recalled.get(peer, 0):
             return False
-        if told.holds and told.kind == Kind.LIMIT:
-            pool.users.add(peer)
+        if told.kind == Kind.LIMIT:
+            if told.holds:
+                pool.users.add(peer)
+            if told.hint and told.hint - 1 in self._others and len(pool.hints) < HINTS_MAX:
+                pool.hints.add(told.hint - 1)
         sent_us = pool.asks.get(told.ask)
         before = pool.borrowed.get(peer)
         if sent_us is None or told.ask <= pool.released or (before is not None and told.ask < before.ask):
@@ -263,17 +272,23 @@
             pool = self.own(key, WHOLE // told.hosts, told.hosts, False, now_us)
         if pool is None or pool.hosts != told.hosts:
             return none
+        hint = 0
+        if told.kind == Kind.LIMIT:
+            others = sorted(pool.users - {peer})
+            pool.users.add(peer)
+            pool.turn += 1
+            hint = 1 + others[pool.turn % len(others)] if others else 0
         pool.prune(now_us)
         if now_us < self.whole_us:
-            return Grant(told.kind, told.key, told.ask, 0, pool.holds)
+            return Grant(told.kind, told.key, told.ask, 0, pool.holds, hint)
         keep = max(pool.floor, min(pool.base, pool.need) if pool.holds else 0)
         parts = min(told.parts, pool.base - keep - pool.out(now_us, peer))
         if parts < min(LEAST, max(1, pool.base // 100)):
-            return Grant(told.kind, told.key, told.ask, 0, pool.holds)
+            return Grant(told.kind, told.key, told.ask, 0, pool.holds, hint)
         self.active.add(key)
         loans = pool.lent.setdefault(peer, [])
         loans.append(Loan(life, told.ask, parts, now_us + told.span_ms * 1000 + self.error_us))
-        return Grant(told.kind, told.key, told.ask, parts, pool.holds)
+        return Grant(told.kind, told.key, told.ask, parts, pool.holds, hint)
 
     def returned(self, peer: int, life: int, told: Release) -> bool:
         """A borrower uses nothing of its questions up to `ask` any more."""
--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from random import Random
 
+import crc32c
+
 from lemonridge.fleet.counts import Counted, Counts
 from lemonridge.fleet.demand import AHEAD, COLD_US, Rates
 from lemonridge.fleet.escrow import WHOLE, Key, Kind, Ledger, Slice
@@ -57,6 +59,8 @@
 RECALL_US = 100_000  # between two of a fresh start's questions to those that have not answered yet
 READ_S = 500  # datagrams read in a second, at most
 BURST_S = 1.0  # bytes that may leave at once, in seconds of their budget
+REGISTER_US = 10_000_000  # between two tellings that a limit is used
+PLACES_MAX = 8192  # of limits whose places are remembered
 TELL_US = 500_000  # between two tellings of counts and judgements
 COUNTS = 24  # totals that are told at a time, at most
 JUDGES = 8  # judgements
@@ -191,6 +195,9 @@
         self.counts: defaultdict[str, int] = defaultdict(int)
         self._limits: dict[int, tuple[float, int]] = {}  # of volumes: units a second, and when last used
         self._cold: dict[int, _Cold] = {}  # by shard
+        self._fresh: list[Key] = []  # limits whose use was not told yet
+        self._due: dict[Key, int] = {}  # when to tell again that a limit is used, the earliest first
+        self._places: dict[Key, tuple[int, ...]] = {}
         self._told: dict[Key, Slice] = {}
         self._senders = [_Sender() for _ in roster.names]
         self._numbers = [0] * roster.size  # of the datagrams to each: gaps tell the other what was lost
@@ -214,6 +221,8 @@
         self._limits[volume] = (limit, now_us)
         self.rates.add(key, units, now_us, limit)
         pool = self.ledger.own(key, WHOLE // hosts, hosts, True, now_us)
+        if self.roster.size > FAN + 1 and key not in self._due:
+            self._fresh.append(key)
         # After a while without requests the decisions may have forgotten the volume, its slice too.
         if pool is None or (key in self._told and before is not None and now_us - before[1] < IDLE_US // 2):
             return None
@@ -416,6 +425,7 @@
                 wanted.setdefault(who, []).append(want)
         for who, wants in wanted.items():
             self._queue([(who, want) for want in wants])
+        self._register(now_us)
         if now_us - self._told_us >= TELL_US:
             self._told_us = now_us
             self._say(now_us)
@@ -470,11 +480,46 @@
         known = sorted(pool.users)[:FAN]
         if key[0] == Kind.LIMIT and len(known) >= pool.hosts - 1:
             return known
+        if key[0] == Kind.LIMIT:
+            known = list(dict.fromkeys([*known, *sorted(pool.hints), *self.places(key)]))[:FAN]
         if key[0] != Kind.LIMIT:  # whoever lent once lends again, or the slices would wander
             known = [n for n in pool.borrowed if n in others][:FAN]
         rest = [n for n in others if n not in known]
         return known + self._random.sample(rest, min(len(rest), FAN - len(known)))
 
+    def places(self, key: Key) -> tuple[int, ...]:
+        """Whom the users of a limit tell that they use it, in a fleet in which not all are asked: two by
+        the highest random weight of the roster (Thaler and Ravishankar, "Using Name-Based Mappings to
+        Increase Hit Rates", 1998). They only know; nothing is theirs to give."""
+        found = self._places.get(key)
+        if found is None:
+            weights = sorted((crc32c.crc32c(b"%d %d" % (key[1], n)), n) for n in range(self.roster.size))
+            found = tuple(n for _, n in weights[-3:] if n != self.roster.me)[-2:]
+            if len(self._places) >= PLACES_MAX:
+                self._places.clear()
+            self._places[key] = found
+        return found
+
+    def _register(self, now_us: int) -> None:
+        """Tell that a limit is used, and hear who else does."""
+        fresh, self._fresh = self._fresh, []
+        for key in fresh:
+            self._tell_of(key, now_us)
+        for key in list(self._due):
+            if self._due[key] > now_us:
+                break  # they stand in the order of their times
+            del self._due[key]
+            self._tell_of(key, now_us)
+
+    def _tell_of(self, key: Key, now_us: int) -> None:
+        pool = self.ledger.pools.get(key)
+        if pool is None or not pool.holds or now_us - pool.used_us >= REGISTER_US:
+            return
+        self._due[key] = now_us + REGISTER_US
+        if len(pool.users) < pool.hosts - 1:
+            want = self.ledger.ask(key, now_us, 0)
+            self._queue([(who, want) for who in self.places(key)])
+
     def _settle(self, now_us: int, actions: list[Action]) -> None:
         """Tell of each slice that is another one now."""
         for key in self.ledger.settle(now_us):
--- a/lemonridge/fleet/wire.py
+++ b/lemonridge/fleet/wire.py
@@ -108,14 +108,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Lent for question `ask`: `parts`, perhaps 0. `holds` says whether the giver uses the budget itself."""
+    """Lent for question `ask`: `parts`, perhaps 0. `holds` says whether the giver uses the budget itself, and
+    `hint`, less 1, is another that told it so; 0 is none."""
 
-    LAYOUT: ClassVar[Struct] = Struct("<BQIIB")
+    LAYOUT: ClassVar[Struct] = Struct("<BQIIBH")
     kind: int
     key: int
     ask: int
     parts: int
     holds: int
+    hint: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/lab/checkers/escrow.py
+++ b/lemonridge/lab/checkers/escrow.py
@@ -200,7 +200,8 @@
     other.pools = {
         key: Pool(pool.base, pool.hosts, pool.holds, pool.need,
                   {who: list(rows) for who, rows in pool.lent.items()},
-                  dict(pool.borrowed), set(pool.users), dict(pool.asks), pool.released, pool.asked_us, 0)
+                  dict(pool.borrowed), set(pool.users), asks=dict(pool.asks), released=pool.released,
+                  asked_us=pool.asked_us)
         for key, pool in made.pools.items()}  # fmt: skip
     return other
 
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -230,6 +230,22 @@
             self.assertLessEqual(sum(held), 3 * 10**7)
         self.assertGreater(held[0], 1.9 * 10**7)  # its own, and half of the others
 
+    def test_in_a_large_fleet_the_users_of_a_limit_find_each_other_and_no_one_else_is_asked(self) -> None:
+        net = Net(30)
+        net.run(2.5)  # no recalls there: a start has its floors for the whole time
+        users = (3, 11, 27)
+        for turn in range(300):
+            for n in users if turn < 10 else users[:1]:
+                net.want(n, 5)
+            net.step()
+        self.assertEqual(net.fleets[3].ledger.pools[int(Kind.LIMIT), 5].users & set(users), {11, 27})
+        self.assertGreater(net.part(3, 5), 0.9)
+        places = set(net.fleets[3].places((int(Kind.LIMIT), 5)))
+        knows = {n for n, one in enumerate(net.fleets) if (int(Kind.LIMIT), 5) in one.ledger.pools}
+        self.assertLessEqual(len(knows - set(users) - places), 2 * 8)
+        named = {one.places((int(Kind.LIMIT), 5)) for one in net.fleets if one.roster.me not in places}
+        self.assertEqual(len(named), 1)  # all but those themselves name the same two
+
     def test_one_that_leaves_gives_back_first(self) -> None:
         net = Net(3)
         net.run(2.0)
