--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -178,7 +178,7 @@
     drill.add_argument("--move-every-ms", type=float, default=250.0, help="0: nothing moves")
     drill.add_argument("--calm", action="store_true", help="no faults, only moves")
     drill.add_argument("--mutation", choices=("unchecked", "lends-unlowered", "keeps-for-ever",
-                                              "forgets-its-loans"),
+                                              "forgets-its-loans", "spends-further"),
                        help="break a rule on purpose: the drill must fail (the first: extents)")
     drill.add_argument("--brokers", type=int, default=5, help="fleet: how many processes")
     drill.add_argument("--even", action="store_true", help="fleet: without messages, on even slices")
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -163,7 +163,7 @@
     def _look(self, beat_s: float) -> None:
         now_s = self._loop.time()
         if now_s - beat_s > BEAT_S + STALL_S and now_s > self._held_until_s:
-            self._held_until_s = now_s + CATCH_UP_S
+            self._held_until_s, self._beat_s = now_s + CATCH_UP_S, now_s
             self._counters["loop.stopped"] += 1
             log.warning("did not run", extra={"for_ms": int((now_s - beat_s) * 1000)})
 
--- a/lemonridge/lab/bent.py
+++ b/lemonridge/lab/bent.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Callable
 
+from lemonridge import api
+
 
 def _clock(offset_ms: float) -> None:
     """Unix time is off by so much, for whoever asks."""
@@ -55,9 +57,55 @@
     escrow.Ledger.__init__ = begin  # type: ignore[method-assign]
 
 
+def _spends_further() -> None:
+    from lemonridge import policy
+    from lemonridge.stores import Store
+
+    class Bottomless(Store):
+        def fill(self, now: int) -> float:
+            super().fill(now)
+            return 1e9
+
+    real = policy.Scheduler.__init__
+
+    def begin(self: policy.Scheduler, settings: api.Settings, seed: int) -> None:
+        real(self, settings, seed)
+        self.further = Bottomless(0)
+
+    policy.Scheduler.__init__ = begin  # type: ignore[method-assign]
+
+
+def _liar() -> None:
+    """Says of every node that it cannot be reached, all the time."""
+    from lemonridge.fleet import judgements, machine
+
+    real = machine.Fleet.ended
+
+    def ended(self: machine.Fleet, node: int, seen: judgements.Seen, now_us: int) -> bool:
+        real(self, node, judgements.Seen.UNREACHED, now_us)
+        self._told_us = now_us - machine.TELL_US
+        return False
+
+    machine.Fleet.ended = ended  # type: ignore[method-assign]
+
+
+def _believes_one() -> None:
+    from lemonridge.fleet import judgements
+
+    judgements.AGREE = 1
+
+
+def _decides_at_once() -> None:
+    """After a stop, by what was known before it."""
+    from lemonridge.core import decider
+
+    decider.CATCH_UP_S = 0.0
+
+
 FAULTS: dict[str, Callable[[], None]] = {
     "lends-unlowered": _lends_unlowered, "keeps-for-ever": _keeps_for_ever,
-    "forgets-its-loans": _forgets_its_loans}  # fmt: skip
+    "forgets-its-loans": _forgets_its_loans, "spends-further": _spends_further, "liar": _liar,
+    "believes-one": _believes_one, "decides-at-once": _decides_at_once}  # fmt: skip
 
 
 def main(arguments: list[str]) -> int:
--- a/lemonridge/lab/drills/fleet.py
+++ b/lemonridge/lab/drills/fleet.py
@@ -17,6 +17,7 @@
 NODES = 3
 HOT = 2  # the volume whose demand sits at one of its brokers
 HOSTS = 3
+FURTHER = 4.0  # further attempts a second, of all brokers
 SETTLE_S = 3.0  # of the calm, before the use of limits is measured: until then slices must have followed
 HEALED_MS, USED = 3000.0, 0.9  # what the drill must reach
 AT_ONE = 0.85  # of its limit: then slices follow demand
@@ -75,7 +76,7 @@
 async def run(options: Options, schedule: Schedule | None = None, site: Site | None = None
               ) -> tuple[dict[str, object], Findings, Rig]:
     """One run: the figures of the last line, what was broken, and the rig as it ended."""
-    site, schedule = site or Site(), schedule or plan(options)
+    site, schedule = site or Site(further=FURTHER if options.peers else 0.0), schedule or plan(options)
     module = ("lemonridge.lab.bent", f"fault={options.bent}") if options.bent else ("lemonridge",)
     async with standing(schedule.brokers, NODES, options.seed, site, options.peers, module=module) as rig:
         clients = Clients([one.port for one in rig.brokers], options.seed, site.deadline_ms)
--- a/lemonridge/lab/links/schedule.py
+++ b/lemonridge/lab/links/schedule.py
@@ -20,9 +20,10 @@
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
 Number = Annotated[int, Meta(ge=0, lt=256)]
 Kind = Literal["cut", "one-way", "split", "loss", "delay", "double", "reorder", "corrupt", "kill", "stop",
-               "late", "node-death", "node-drain"]  # fmt: skip
+               "late", "node-death", "node-drain", "node-bad"]  # fmt: skip
 GAP_S = 0.5  # between two faults of one process
 THIN: tuple[Kind, ...] = ("loss", "delay", "double", "reorder", "corrupt", "cut")
+ALONE = ("kill", "stop", "late", "node-death", "node-drain", "node-bad")
 LINKS = ("cut", "one-way", "split", "loss", "delay", "double", "reorder", "corrupt")
 
 
@@ -32,7 +33,8 @@
     `brokers` are those that it meets: of a cut, loss and the like every stretch between one of them and one
     of `to` (all others, where that is empty); `one-way` only from the first to the second. A broker that is
     killed starts again under its name when the time is over, one that is stopped goes on, one that is late
-    starts only then. `nodes` are the disk nodes that die and come back cold, or are drained."""
+    starts only then. `nodes` are the disk nodes that die and come back cold, are drained, or answer a `share`
+    of what they run with errors."""
 
     kind: Kind
     at_s: Seconds
@@ -114,14 +116,14 @@
         at_s, for_s = times(random.uniform(shortest, longest))
         faults.append(Fault(kind=kind, brokers=brokers, at_s=at_s, for_s=for_s, **more))
 
-    def place(kind: Kind, who: str, count: int, shortest: float, longest: float) -> None:
+    def place(kind: Kind, who: str, count: int, shortest: float, longest: float, **more: Any) -> None:
         """One thing at a time for a process: it is drawn again until it finds room."""
         for _ in range(200):
             number, when = random.randrange(count), times(random.uniform(shortest, longest))
             if not any(one.at_s - GAP_S < when[0] + when[1] and when[0] < one.at_s + one.for_s + GAP_S
-                       for one in faults if number in getattr(one, who) and one.kind not in LINKS):
+                       for one in faults if number in getattr(one, who) and one.kind in ALONE):
                 break
-        there: dict[str, Any] = {who: (number,)}
+        there: dict[str, Any] = {who: (number,), **more}
         faults.append(Fault(kind=kind, at_s=when[0], for_s=when[1], **there))
 
     for _ in range(max(1, int(seconds // 20))):
@@ -131,6 +133,7 @@
         place("node-death", "nodes", nodes, 0.5, 1.5)
         if nodes > 1:
             place("node-drain", "nodes", nodes, 1.0, 2.5)
+        place("node-bad", "nodes", nodes, 3.0, 6.0, share=0.5)
         minority = tuple(sorted(random.sample(everyone, small)))
         link("split", minority, 1.5, 4.0)
         one, other = random.sample(everyone, 2)
--- a/lemonridge/lab/rig.py
+++ b/lemonridge/lab/rig.py
@@ -46,7 +46,8 @@
     tip_multiple: float = 2.5
     unit_ms: float = 10.0
     cores: int = 2
-    further: float = 0.0  # further attempts a second, of all brokers
+    further: float = 0.0  # further attempts a second, of all brokers; their peers stand in a file then
+    more: str = ""  # of that file's table
 
     def facts(self, brokers: int, nodes: int, me: int) -> dict[str, Any]:
         """The settings as PROTOCOL's configuration holds them."""
@@ -138,7 +139,7 @@
         self.network = Network(brokers, seed)
         self.nodes = [ColdNode(f"s-{n}", n, brokers, site.cores, unit_ms=site.unit_ms,
                                cold_share=site.cold_share, ramp_s=site.ramp_s, fall_s=site.fall_s,
-                               tip_multiple=site.tip_multiple) for n in range(nodes)]  # fmt: skip
+                               tip_multiple=site.tip_multiple, seed=seed) for n in range(nodes)]  # fmt: skip
         self.brokers: list[Broker] = []
         self.begun = 0.0
         self.splits = 0
@@ -159,7 +160,9 @@
             assert isinstance(register, Register)
             for node in self.nodes:
                 await register.set(node.row(number))
-            more = ("--peers",) if self.peers else ()
+            more: tuple[str, ...] = ("--peers",) if self.peers else ()
+            if self.peers and self.site.further:
+                more = ("--config", str(self.fleet_file(number)))
             broker = Broker(number, free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM),
                             self.folder / f"b{number}.json", register, more,
                             module=module(number))  # fmt: skip
@@ -178,6 +181,15 @@
                 "limits": {"sockets": 1024}, "admin_addr": f"127.0.0.1:{broker.admin}",
                 "peer_listen": self.network.listen(number), "peers": self.network.told(number)}  # fmt: skip
 
+    def fleet_file(self, number: int) -> Path:
+        """What operators would write for a broker: its peers, and the budget of further attempts."""
+        members = "".join(f'[[fleet.member]]\nname = "b{n}"\naddress = "{at}"\n'
+                          for n, at in enumerate(self.network.told(number)))  # fmt: skip
+        path = self.folder / f"fleet{number}.toml"
+        path.write_text(f'[fleet]\nlisten = "{self.network.listen(number)}"\n'
+                        f"further_attempts = {self.site.further}\n{self.site.more}\n{members}")
+        return path
+
     async def stop(self) -> None:
         """End every broker well, then what is around them."""
         await asyncio.gather(*(one.stop() for one in self.brokers))
@@ -219,6 +231,11 @@
             await asyncio.gather(*(self.death(self.nodes[n], one.for_s) for n in one.nodes))
         elif one.kind == "node-drain":
             await asyncio.gather(*(self.drain(self.nodes[n], one.for_s) for n in one.nodes))
+        elif one.kind == "node-bad":
+            for bad in (one.share, 0.0):
+                for number in one.nodes:
+                    self.nodes[number].bad = bad
+                await asyncio.sleep(one.for_s if bad else 0.0)
 
     async def link(self, pairs: list[tuple[int, int]], one: Fault) -> None:
         """A fault of some stretches for its time. Of two of a kind the latest begun counts."""
--- a/lemonridge/lab/standins/cold.py
+++ b/lemonridge/lab/standins/cold.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -46,17 +47,21 @@
     came: list[Came] = field(default_factory=list)
     falls: int = 0
     turned: int = 0
+    bad: float = 0.0  # this share of what it runs ends in 500
+    seed: int = 1
     alive: bool = False
     held: int = 0
     cold_units: float = 0.0  # sent while cold
     _recent: deque[tuple[float, float]] = field(default_factory=deque)
     _recent_units: float = 0.0
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _random: Random = field(default_factory=Random)
     born: float | None = None
     born_ms: int = 0
 
     async def start(self, cold: bool = False) -> ColdNode:
         """Listen, at the addresses of the last life if there was one."""
+        self._random.seed(f"{self.seed}/{self.name}/{self.falls}")
         self.born, self.born_ms = (time.monotonic(), time.time_ns() // 1_000_000) if cold else (None, 0)
         self._recent.clear()
         self._recent_units, self.held, self.alive = 0.0, 0, True
@@ -136,6 +141,8 @@
                 await asyncio.sleep(units * self.unit_ms / 1000 / self.warmth())
         finally:
             self.held -= 1
+        if self._random.random() < self.bad:
+            return _answer(500)
         return _answer(200, ident.encode())
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,7 @@
 from lemonridge import api
 from lemonridge.core.broker import Broker
 from lemonridge.core.clock import Clock
-from lemonridge.core.decider import Decider
+from lemonridge.core.decider import CATCH_UP_S, Decider
 from lemonridge.core.model import Attempt, Kind, Outcome, Request
 from lemonridge.counters import Counters
 
@@ -61,6 +61,36 @@
         self.assertEqual({(one.kind, one.backoff_us) for one in answers}, {(Kind.REFUSED, 7)})
         self.assertEqual(len(self.policy.batches[0]), 5)
 
+    async def test_after_a_stop_nothing_is_decided_until_what_came_meanwhile_is_read(self) -> None:
+        self.decider.mind_stops()
+        loop = asyncio.get_running_loop()
+        self.decider._beat_s = loop.time() - 1.0  # as a process finds it that was stopped for a second
+        begun = loop.time()
+        self.decider.tell(api.Gone("r1"))
+        await asyncio.sleep(0)
+        self.decider.tell(api.Listed(api.ListKind.PATCH, ()))  # read in the next turn
+        while not self.policy.batches:
+            await asyncio.sleep(0)
+        self.assertGreaterEqual(loop.time() - begun, CATCH_UP_S)
+        self.assertEqual([type(event) for event in self.policy.batches[0]], [api.Gone, api.Listed])
+        self.assertEqual(self.counters["loop.stopped"], 1)
+
+    async def test_an_onlooker_is_told_before_the_decisions_are(self) -> None:
+        order: list[str] = []
+
+        class Looker:
+            def arrived(self, event: api.Arrived) -> None:
+                order.append("onlooker")
+
+            def __getattr__(self, name: str) -> Callable[..., None]:
+                return lambda *_: None
+
+        self.decider.onlooker = Looker()  # type: ignore[assignment]
+        self.policy.react = lambda event: order.append(type(event).__name__) or (
+            [api.Refuse(event.request, 0, api.Why.LATE)] if isinstance(event, api.Arrived) else [])
+        await self.broker.serve(self.request())
+        self.assertEqual(order[:2], ["onlooker", "Arrived"])
+
     async def test_an_answer_leaves_at_once_while_an_attempt_is_out(self) -> None:
         hold = asyncio.Event()
 
--- a/tests/test_fleet_config.py
+++ b/tests/test_fleet_config.py
@@ -99,19 +99,16 @@
     async def play(self) -> tuple[list[dict], str]:
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
-            rig = Rig(folder, 3, 1, 1, Site(), False)
+            rig = Rig(folder, 3, 1, 1, Site(further=5.0), True)
             for n, secret in enumerate(("one secret for two", "one secret for two", "another, as long")):
                 (folder / f"key{n}").write_text(secret)
                 (folder / f"key{n}").chmod(0o600)
 
             class Filed(Broker):
                 async def start(self) -> None:
-                    members = "".join(f'[[fleet.member]]\nname = "b{n}"\naddress = "{at}"\n'
-                                      for n, at in enumerate(rig.network.told(self.number)))
-                    path = folder / f"fleet{self.number}.toml"
-                    path.write_text(f'[fleet]\nlisten = "{rig.network.listen(self.number)}"\n'
-                                    f'secret = "{folder}/key{self.number}"\nfurther_attempts = 5\n{members}')
-                    self.arguments = ("--config", str(path))
+                    path = Path(self.arguments[1])
+                    path.write_text(path.read_text().replace(
+                        "[fleet]", f'[fleet]\nsecret = "{folder}/key{self.number}"'))
                     await super().start()
 
             with mock.patch("lemonridge.lab.rig.Broker", Filed):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -898,3 +898,72 @@
             seen += rig.do(api.Woke())
         assert max(begun) <= deadline - 10_000, seed
         assert finals(seen) == {name: api.Refuse}
+
+
+# What hosts share
+
+
+def test_a_slice_holds_to_its_end_and_the_one_after_it_from_then_on(rig: Rig) -> None:
+    rig.ask(1, plan=1)
+    store = rig.policy.volumes[1].store
+    store.level = 0.0
+    rig.do(api.Sliced(api.Budget.LIMIT, 1, 0.9, rig.now + 1_000_000, 0.1, rig.now))
+    limit = SETTINGS.plans[1].limit
+    assert store.fill(rig.now + 2_000_000) == pytest.approx(min(store.top, limit * (0.9 + 0.1)), rel=1e-6)
+
+
+def test_a_slice_that_is_told_before_the_first_request_counts(rig: Rig) -> None:
+    rig.do(api.Sliced(api.Budget.LIMIT, 7, 0.02, 0, 0.02, rig.now))
+    rig.ask(7, plan=1)
+    assert rig.policy.volumes[7].store.share.now(rig.now) == 0.02
+
+
+def test_further_attempts_wait_for_the_slice_of_all_hosts(make) -> None:
+    rig = make(further_rate=1.0, hosts=2, max_attempts=4)
+    rig.pass_time(3_000_000)
+    first, second = rig.ask(), rig.ask()
+    again = sends(rig.end(first, Result.ERROR) + rig.pass_time(60_000))
+    assert again == [first]
+    assert not sends(rig.end(second, Result.ERROR) + rig.pass_time(60_000))  # its half is spent
+    rig.do(api.Sliced(api.Budget.FURTHER, 0, 1.0, rig.now + 5_000_000, 0.5, rig.now))
+    rig.pass_time(1_100_000)
+    third = rig.ask()
+    assert sends(rig.end(third, Result.ERROR) + rig.pass_time(60_000)) == [third]
+
+
+def test_one_voice_makes_careful_and_two_a_try_at_a_time_until_an_own_answer(rig: Rig) -> None:
+    node = rig.policy.nodes["a"]
+    node.window = 4.0
+    rig.do(api.Judged("a", 1, False, rig.now))
+    assert node.window == 2.0 and not node.unreached
+    rig.do(api.Judged("a", 2, True, rig.now))
+    assert node.unreached and rig.policy._suspect(node)
+    rig.pass_time(3_000_000)
+    rig.end(rig.ask())
+    assert not node.unreached
+    rig.do(api.Judged("a", 5, True, node.heard_us))  # older than what this host heard itself
+    assert not node.unreached
+
+
+def test_what_others_served_is_taken_off_and_lets_a_volume_have_its_whole_reserve(rig: Rig) -> None:
+    rig.ask(1, plan=0)
+    volume = rig.policy.volumes[1]
+    before = volume.balance
+    rig.do(api.Served(1, 3.0))
+    assert volume.balance == pytest.approx(before - 3.0) and volume.told_us == rig.now
+
+
+def test_what_is_lent_at_a_cold_node_raises_what_it_is_sent(rig: Rig) -> None:
+    rig.listed(("a", 0, Condition.ACTIVE, rig.now), kind=ListKind.PATCH)
+    node = rig.policy.nodes["a"]
+    rig.now += 1_000_000
+    rig.policy.now = rig.now
+    assert rig.policy._cold(node)
+    own = node.cold_rate
+    rig.do(api.Sliced(api.Budget.COLD, "a", 5e-5, rig.now + 1_000_000, -1.0, rig.now))
+    rig.policy._cold(node)
+    assert node.cold_rate > own
+    rig.now += 1_000_000
+    rig.policy.now = rig.now
+    rig.policy._cold(node)
+    assert node.cold_rate == 0.0  # all of its own is lent
