Let words alone never close a node: agreed voices make the next request a try at once

Cause: two agreeing voices put a node into the state of one that was not reached, with the wait before the next probe too. So what two others said kept a broker that reaches the node well from it for up to the probe's wait, which docs/fleet-state.md promises words never do.

Change: the verdict sets the state, not the wait; the next request for that node is the try, alone, and its own answer ends the judgement. With it, bench fleet: the document's three measurements (states, cold, membership) by one command.

Checked: tests/test_policy.py fails on the old text (the second request was not sent before 3 s).

--- a/lemonridge/lab/checkers/escrow.py
+++ b/lemonridge/lab/checkers/escrow.py
@@ -39,6 +39,12 @@
     budgets: tuple[Key, ...] = (ALL_USE, TWO_USE)
 
 
+STATED = (
+    Bounds(1, doubles=0, lags=0), Bounds(1, doubles=0, lags=0, budgets=(TWO_USE,)), Bounds(1, crashes=0),
+    Bounds(2, doubles=0, crashes=0, budgets=(TWO_USE,)), Bounds(2, crashes=0, lags=0, budgets=(TWO_USE,)),
+    Bounds(2, flights=1, doubles=0, lags=0, recalls=1, budgets=(TWO_USE,)))  # as docs/fleet-state.md has them
+
+
 @dataclass(frozen=True)
 class Message:
     source: int
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -78,6 +78,8 @@
         figures = bench_decisions.ratio(options.seed)
         print(line(figures))
         return 0 if float(str(figures["ratio"])) <= 2 else 1
+    if options.name == "fleet":
+        return _bench_fleet(options)
     if options.name == "iscsi":
         told = bench_iscsi.figures(options.seconds, options.against)
         for row in told:
@@ -93,6 +95,36 @@
     return 0 if float(str(big["mib"])) <= 64 and float(str(big["lookup_ratio"])) <= 3 else 1
 
 
+def _bench_fleet(options: argparse.Namespace) -> int:
+    """What docs/fleet-state.md states: 1 where a node fell, or a state passed a budget."""
+    if options.part == "membership":
+        from lemonridge.lab.measure import membership
+
+        for row in membership.figures():
+            print(line(row), flush=True)
+        return 0
+    if options.part == "cold":
+        from lemonridge.lab.measure import fleet_cold
+
+        rows = fleet_cold.figures((options.seed, options.seed + 1))
+        for row in rows:
+            print(line(row))
+        return 1 if any(row["falls"] for row in rows) else 0
+    from lemonridge.lab.checkers import escrow
+
+    broken = False
+    for bounds in escrow.STATED:
+        found = escrow.search(bounds)
+        broken = broken or bool(found.broken) or not found.whole
+        print(line({"bench": "fleet", "part": "states", "asks": bounds.asks, "flights": bounds.flights,
+                    "doubles": bounds.doubles, "crashes": bounds.crashes, "lags": bounds.lags,
+                    "recalls": bounds.recalls, "budgets": len(bounds.budgets), "states": found.states,
+                    "whole": int(found.whole), "broken": found.broken or "none"}), flush=True)  # fmt: skip
+        for move in found.path:
+            print(f"  {move}")
+    return 1 if broken else 0
+
+
 def line(figures: dict[str, object]) -> str:
     """key=value, as the log has it."""
     return " ".join(f'{name}="{value}"' if " " in str(value) else f"{name}={value}"
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -242,13 +242,12 @@
 
     def _judged(self, event: Judged) -> None:
         """What others have seen of a node. Its own later answer goes before; one voice makes careful; where
-        several agree it is tried with one request at a time, as if this host had not reached it itself."""
+        several agree the next request is a try, at once: words alone never close what this host may reach."""
         node = self.nodes.get(event.node)
         if node is None or node.heard_us >= event.at_us or node.unreached:
             return
         if event.agreed:
             node.unreached, node.down_us = 1, event.at_us
-            self._probe_later(node)
         elif node.cut_us < event.at_us and node.window > WINDOW_MIN:
             node.window, node.cut_us = max(WINDOW_MIN, node.window / 2), self.now
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -938,9 +938,10 @@
     assert node.window == 2.0 and not node.unreached
     rig.do(api.Judged("a", 2, True, rig.now))
     assert node.unreached and rig.policy._suspect(node)
-    rig.pass_time(3_000_000)
-    rig.end(rig.ask())
-    assert not node.unreached
+    first, second = rig.ask(), rig.ask()
+    assert [one for one, _ in rig.policy.flights] == [first]  # a try at once, and no other beside it
+    rig.end(first)
+    assert not node.unreached and [one for one, _ in rig.policy.flights] == [second]
     rig.do(api.Judged("a", 5, True, node.heard_us))  # older than what this host heard itself
     assert not node.unreached
 
