Know a cold node's budget by its name, and take no words from before its start

They set it back to 'not reached since then', so the next answer counted as another restart: the spell began anew, under another key (node and start), to which nobody lends, and the demand went there, while what was borrowed for the first key (36 units a second) was asked for ever less.

Change: words no younger than a second after a start the host knows of change nothing; a cold budget goes by the node's name, the question says when the spell began, and a lender gives only while the node is cold to itself and to none that holds it warmer; a new spell counts what the old one lent, which it did not before (a part could be used twice for 1.5 s).

--- a/lemonridge/fleet/companion.py
+++ b/lemonridge/fleet/companion.py
@@ -29,7 +29,7 @@
 from lemonridge.fleet.roster import Roster, key_of
 from lemonridge.fleet.wire import Tagger
 
-NODES_MAX, SPELLS_MAX = 65536, 4096  # names that are kept for what comes by key
+NODES_MAX = 65536  # names that are kept for what comes by key
 MICRO = 1e12  # micro-units a second in a unit a microsecond
 BUDGETS = {Kind.LIMIT: api.Budget.LIMIT, Kind.COLD: api.Budget.COLD, Kind.FURTHER: api.Budget.FURTHER}
 SEEN = {api.Result.OK: Seen.GOOD, api.Result.FULL: Seen.GOOD, api.Result.ERROR: Seen.ERROR,
@@ -53,7 +53,6 @@
         self.tells: list[Tell] = []
         self.wake_us = now_us
         self.nodes: dict[int, str] = {}  # names by key
-        self._spells: dict[int, str] = {}  # nodes by the key of a cold spell
         self._handle(now_us)
 
     def _handle(self, now_us: int, *events: machine.Event) -> None:
@@ -116,12 +115,10 @@
         self.fleet.sent(key_of(node), units)
 
     def chilled(self, action: api.Chilled, now_us: int) -> None:
-        """A cold spell began; brokers that hear of the same start know it by the same key."""
-        key = key_of(f"{action.node} {action.born_us}")
-        if len(self._spells) > SPELLS_MAX:
-            del self._spells[next(iter(self._spells))]
-        self._spells[key] = action.node
-        self._handle(now_us, machine.Chilled(action.node, key, action.shard, action.rate, action.until_us))
+        """A cold spell began. Brokers may hold one start for two times (by the list, by their own eyes), so
+        its budget goes by the node's name, and the time goes with each question."""
+        self._handle(now_us, machine.Chilled(action.node, key_of(action.node), action.shard, action.rate,
+                                             action.born_us, action.until_us))  # fmt: skip
 
     def renewed(self, now_us: int) -> None:
         """The decisions began anew, with even slices: what is lent, or not this broker's own yet, is kept."""
@@ -134,9 +131,9 @@
         name: int | str = told.key
         own, whole = 0, float(WHOLE)
         if told.kind is Kind.COLD:
-            if told.key not in self._spells:
+            if told.key not in self.nodes:
                 return
-            name, own, whole = self._spells[told.key], told.base, MICRO
+            name, own, whole = self.nodes[told.key], told.base, MICRO
         part = told.slice
         self.events.append(api.Sliced(BUDGETS[told.kind], name, (part.parts - own) / whole, part.until_us,
                                       (part.after - own) / whole, now_us))  # fmt: skip
--- a/lemonridge/fleet/escrow.py
+++ b/lemonridge/fleet/escrow.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from lemonridge.fleet.wire import Cleared, Grant, Item, Release, Want
+from lemonridge.fleet.wire import WRAP, Cleared, Grant, Item, Release, Want
 
 WHOLE = 1_000_000  # parts of a volume's limit, or of the further attempts
 SPAN_US = 1_500_000  # of a loan: what a dead borrower keeps from others, against questions a second
@@ -30,6 +30,7 @@
 POOLS_MAX = 8192  # budgets that are kept; past it nothing new is lent or borrowed
 ASKS_MAX = 8  # questions remembered for a budget
 HINTS_MAX = 8  # of a budget
+BORN_MS = 1_000  # by so much a borrower may hold a spell older: two may see one start so far apart
 LOANS_MAX = 8  # loans of one borrower that have not ended; past it they count as one, the largest and longest
 
 
@@ -81,6 +82,7 @@
     asked_us: int = 0
     used_us: int = 0
     floors: int = FLOOR  # of how many parts of its own it never lends one
+    born_ms: int = 0  # of a cold spell: what is lent in one is of no use in an older one
 
     @property
     def floor(self) -> int:
@@ -146,6 +148,16 @@
         pool.used_us = now_us
         return pool
 
+    def chilled(self, key: Key, base: int, hosts: int, born_ms: int, now_us: int) -> list[tuple[int, Item]]:
+        """A cold spell of the node `key` began: `base` is this broker's own right there from now on. What it
+        lent in the spell before counts on until it ends, so that the same right is never used twice; what it
+        borrowed then goes back."""
+        pool = self.own(key, base, hosts, True, now_us)
+        if pool is None:
+            return []
+        pool.base, pool.born_ms, pool.need, pool.asked_us = base, born_ms % WRAP, 0, 0
+        return self.give_back(key)
+
     def mine(self, pool: Pool, now_us: int) -> int:
         """What is left of its own."""
         left = max(0, pool.base - pool.out(now_us))
@@ -197,7 +209,7 @@
         pool.asks[self._ask] = now_us
         while len(pool.asks) > ASKS_MAX:
             del pool.asks[next(iter(pool.asks))]
-        return Want(key[0], key[1], min(255, pool.hosts), self._ask, parts, SPAN_US // 1000)
+        return Want(key[0], key[1], min(255, pool.hosts), self._ask, parts, SPAN_US // 1000, pool.born_ms)
 
     def lent_to_me(self, peer: int, life: int, told: Grant, now_us: int) -> bool:
         """An answer of one of the lender's incarnations. It counts from when its question was sent, replaces
@@ -250,8 +262,8 @@
 
     def give_back(self, key: Key) -> list[tuple[int, Item]]:
         """Use nothing that is lent any more, first, and say so then."""
-        pool = self.pools[key]
-        if not pool.borrowed:
+        pool = self.pools.get(key)
+        if pool is None or not pool.borrowed:
             return []
         peers, pool.borrowed = list(pool.borrowed), {}
         pool.released = self._ask
@@ -272,6 +284,8 @@
             pool = self.own(key, WHOLE // told.hosts, told.hosts, False, now_us)
         if pool is None or pool.hosts != told.hosts:
             return none
+        if told.kind == Kind.COLD and (told.born_ms - pool.born_ms + WRAP // 2) % WRAP < WRAP // 2 - BORN_MS:
+            return none  # it holds the node warmer than this broker does: perhaps it missed a restart
         hint = 0
         if told.kind == Kind.LIMIT:
             others = sorted(pool.users - {peer})
--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -101,6 +101,7 @@
     key: int
     shard: int
     rate: float
+    born_us: int
     until_us: int
 
 
@@ -298,8 +299,12 @@
         key = (int(Kind.COLD), event.key)
         base = int(event.rate * 1e6)
         if self.roster.size > 1 and 0 <= base < 1 << 31:
+            before = self._cold.get(event.shard)
+            if before is not None and before.key != key:  # another node has the shard now
+                self.cold_rates.forget(before.key)
+                self._queue(self.ledger.give_back(before.key))
             self._cold[event.shard] = _Cold(event.name, key, event.shard, event.until_us)
-            self.ledger.own(key, base, self.roster.size, True, now_us)
+            self._queue(self.ledger.chilled(key, base, self.roster.size, event.born_us // 1000, now_us))
 
     def _leave(self, now_us: int) -> None:
         """What is lent to this broker goes back, and all hear that it leaves."""
@@ -376,7 +381,10 @@
         elif isinstance(item, Fact):
             self._queue(self.members.fact(who, item, now_us))
         elif isinstance(item, Want):
-            grant = self.ledger.asked(who, head.life, item, now_us)
+            over = item.kind == Kind.COLD and all(one.key[1] != item.key for one in self._cold.values())
+            # Of a spell that is over, or not known of, nothing is lent: this broker uses its own unbounded.
+            grant = (Grant(item.kind, item.key, item.ask, 0, 0) if over
+                     else self.ledger.asked(who, head.life, item, now_us))
             self.counts["loans.given" if grant.parts else "loans.refused"] += 1
             self._queue([(who, grant)])
         elif isinstance(item, Grant):
@@ -433,6 +441,7 @@
             if now_us >= cold.until_us:
                 del self._cold[shard]
                 self.cold_rates.forget(cold.key)
+                self._queue(self.ledger.give_back(cold.key))
         if now_us - self._swept_us > IDLE_US:
             self._swept_us = now_us
             for key in self.ledger.sweep(now_us, IDLE_US):
--- a/lemonridge/fleet/wire.py
+++ b/lemonridge/fleet/wire.py
@@ -18,7 +18,7 @@
 import crc32c
 
 DATAGRAM_MAX = 256  # bytes: PROTOCOL, "Between brokers"
-VERSION = 0xB1  # of the layout below; another one is not read
+VERSION = 0xB2  # of the layout below; another one is not read
 TAG = 8  # bytes of the keyed tag
 _HEAD = Struct("<BBHHQBII")  # version, state, roster, sender, life, round, number, sent
 _CHECK = Struct("<I")
@@ -95,15 +95,17 @@
 @dataclass(frozen=True, slots=True)
 class Want:
     """Lend me `parts` of budget `kind`/`key` for `span_ms` from when I sent this; `hosts` is how many share
-    it, `ask` this question's number, which is never used again by this incarnation."""
+    it, `ask` this question's number, which is never used again by this incarnation. `born_ms` is when the
+    node's cold spell began by the sender's knowledge, in wrapping milliseconds; 0 for other budgets."""
 
-    LAYOUT: ClassVar[Struct] = Struct("<BQBIIH")
+    LAYOUT: ClassVar[Struct] = Struct("<BQBIIHI")
     kind: int
     key: int
     hosts: int
     ask: int
     parts: int
     span_ms: int
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -241,10 +241,11 @@
             self.further.tell(since, *part)
 
     def _judged(self, event: Judged) -> None:
-        """What others have seen of a node. Its own later answer goes before; one voice makes careful; where
-        several agree the next request is a try, at once: words alone never close what this host may reach."""
+        """What others have seen of a node. Its own later answer goes before, and so does a later start; one
+        voice makes careful; where several agree the next request is a try, at once: words alone never close
+        what this host may reach."""
         node = self.nodes.get(event.node)
-        if node is None or node.heard_us >= event.at_us or node.unreached:
+        if node is None or node.unreached or event.at_us <= max(node.heard_us, (node.born_us or 0) + DOWN_US):
             return
         if event.agreed:
             node.unreached, node.down_us = 1, event.at_us
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -221,7 +221,7 @@
         net = Net(3)
         net.run(2.0)
         for n in range(3):
-            net.act(n, net.fleets[n].handle(net.now, (Chilled("s-1", 77, 4, 10.0, net.now + 10**7),)))
+            net.act(n, net.fleets[n].handle(net.now, (chilled(net, net.now),)))
         for _ in range(150):
             net.fleets[0].asked(4, 3.0, net.now)
             net.step()
@@ -230,6 +230,37 @@
             self.assertLessEqual(sum(held), 3 * 10**7)
         self.assertGreater(held[0], 1.9 * 10**7)  # its own, and half of the others
 
+    def test_two_sights_of_one_start_lend_to_each_other_and_a_spell_that_is_over_lends_nothing(self) -> None:
+        net = Net(3)
+        net.run(2.0)
+        for n, late in ((0, 900_000), (1, 0), (2, -3_000_000)):  # seen itself, listed, and the start before
+            net.act(n, net.fleets[n].handle(net.now, (chilled(net, net.now + late, 2.0),)))
+        for _ in range(60):
+            net.fleets[0].asked(4, 3.0, net.now)
+            net.fleets[2].asked(4, 3.0, net.now)
+            net.step()
+        self.assertGreater(net.slices[0, Kind.COLD, 77].slice.parts, 10**7)
+        self.assertFalse(net.fleets[2].ledger.pools[int(Kind.COLD), 77].borrowed)  # it holds the node warmer
+        for _ in range(160):  # by then the spell is over
+            net.fleets[0].asked(4, 3.0, net.now)
+            net.step()
+        self.assertEqual({one.ledger.pools[int(Kind.COLD), 77].out(net.now) for one in net.fleets}, {0})
+
+    def test_a_spell_that_begins_anew_uses_nothing_twice_of_what_is_lent_still(self) -> None:
+        net = Net(3)
+        net.run(2.0)
+        for n in range(3):
+            net.act(n, net.fleets[n].handle(net.now, (chilled(net, net.now),)))
+        for _ in range(60):
+            net.fleets[0].asked(4, 3.0, net.now)
+            net.step()
+        lent = net.fleets[1].ledger.pools[int(Kind.COLD), 77].out(net.now)
+        self.assertEqual(lent, 5 * 10**6)
+        net.act(1, net.fleets[1].handle(net.now, (chilled(net, net.now + 1),)))
+        self.assertLessEqual(net.slices[1, Kind.COLD, 77].slice.parts, 10**7 - lent)
+        net.act(0, net.fleets[0].handle(net.now, (chilled(net, net.now + 2),)))
+        self.assertEqual(net.slices[0, Kind.COLD, 77].slice.parts, 10**7)  # what it had borrowed goes back
+
     def test_in_a_large_fleet_the_users_of_a_limit_find_each_other_and_no_one_else_is_asked(self) -> None:
         net = Net(30)
         net.run(2.5)  # no recalls there: a start has its floors for the whole time
@@ -257,6 +288,10 @@
         self.assertEqual(net.fleets[1].members.members[0].state, State.LEAVING)
 
 
+def chilled(net: Net, born_us: int, lasts_s: float = 10.0) -> Chilled:
+    return Chilled("s-1", 77, 4, 10.0, born_us, net.now + int(lasts_s * 1e6))
+
+
 class Membership(unittest.TestCase):
     def test_a_death_is_known_to_all_in_seconds_and_nobody_else_accused(self) -> None:
         for count, loss, slow in ((3, 0.0, False), (16, 0.3, False), (16, 0.0, True)):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -946,6 +946,23 @@
     assert not node.unreached
 
 
+def test_words_from_before_a_nodes_start_do_not_chill_it_again(rig: Rig) -> None:
+    rig.pass_time(5_000_000)
+    born = rig.now
+    rig.listed(("a", 0, Condition.ACTIVE, born), kind=ListKind.PATCH)
+    rig.do(api.Judged("a", 3, True, born - 500_000))  # they saw it dead
+    rig.pass_time(800_000)
+    rig.do(api.Judged("a", 3, True, born + 200_000))  # words take their time, and clocks differ
+    name = rig.ask()
+    rig.pass_time(300_000)
+    if name in rig.policy.requests:
+        rig.end(name)
+    assert rig.policy.nodes["a"].born_us == born
+    rig.pass_time(2_000_000)
+    rig.do(api.Judged("a", 2, True, rig.now - 100_000))
+    assert rig.policy.nodes["a"].unreached  # of later ones the next request is a try
+
+
 def test_what_others_served_is_taken_off_and_lets_a_volume_have_its_whole_reserve(rig: Rig) -> None:
     rig.ask(1, plan=0)
     volume = rig.policy.volumes[1]
