Count in the model what is used of limits and of cold nodes, for the fleet's measurement

Change: limits_used (sent within a second, of what was allowed and asked for) and cold_used (work sent to cold nodes, of what they could do meanwhile), where a scenario has leads; other scenarios' figures and digests are as before.

--- a/lemonridge/lab/model/outcome.py
+++ b/lemonridge/lab/model/outcome.py
@@ -21,6 +21,9 @@
     decided: int
 
 
+SETTLED_S = 3  # of a run's start, in which no use of limits is counted
+
+
 @dataclass(slots=True)
 class Line:
     """One class's counts; times in milliseconds."""
@@ -51,6 +54,8 @@
         self.served_units: dict[tuple[int, int], float] = {}
         self._buckets: dict[int, tuple[float, float]] = {}
         self.over_limit = 0
+        self.drawn: dict[tuple[int, int], float] = {}  # (volume with a limit, second) -> units sent
+        self.cold_us = self.cold_could_us = 0.0  # work sent to cold nodes, and what they could do meanwhile
         self.cpu_us = 0.0
         self.decided = 0
 
@@ -61,9 +66,13 @@
 
     def sent(self, request: Request, number: int, node: Node, now_us: float) -> None:
         self.attempts += 1
+        if node.warmth(now_us) < 1.0:
+            self.cold_us += request.cost_us
         plan = self._scenario.plans[request.volume.plan]
         if number or not plan.limit:
             return
+        spot = (request.volume.number, int(now_us // 1_000_000))
+        self.drawn[spot] = self.drawn.get(spot, 0.0) + request.units
         # The limit over all brokers: a store that fills at its rate, with the slack of a largest request.
         top = max(plan.limit, 12.0)
         level, at = self._buckets.get(request.volume.number, (top, now_us))
@@ -71,6 +80,13 @@
         self._buckets[request.volume.number] = (level, now_us)
         self.over_limit += level < -max(6.0, plan.limit * 0.1)
 
+    def chilled(self, node: Node, now_us: float) -> None:
+        """A cold spell began; what the node can do in it, as far as it lies within the run."""
+        spec = node.spec
+        lasts = max(0.0, min(spec.ramp_s, self._scenario.seconds - now_us / 1e6))
+        warmest = spec.cold_share + (1 - spec.cold_share) * (lasts / spec.ramp_s if spec.ramp_s else 1.0)
+        self.cold_could_us += lasts * 1e6 * spec.cores * node.speed * (spec.cold_share + warmest) / 2
+
     def served(self, request: Request, now_us: float) -> None:
         line, row = self.lines[request.cls], self._scenario.classes[request.cls]
         took = (now_us - request.born_us) / 1000
@@ -103,6 +119,16 @@
             met += min(wanted, self.served_units.get((volume, second), 0.0))
         return met / due if due else 1.0
 
+    def limits_used(self) -> float:
+        """The part that was sent of what limits allowed and was asked for, each volume's second by itself."""
+        due = used = 0.0
+        for (volume, second), asked in self.asked_units.items():
+            limit = self._scenario.plans[self._plan(volume)].limit
+            if limit and second >= SETTLED_S:
+                sent = self.drawn.get((volume, second), 0.0)
+                due, used = due + min(asked, limit), used + min(asked, limit, sent)
+        return used / due if due else 1.0
+
     def _plan(self, volume: int) -> int:
         place, total = (volume + 0.5) / self._scenario.volumes, 0.0
         for index, row in enumerate(self._scenario.plans):
@@ -125,6 +151,9 @@
             "attempts": self.attempts, "p50_ms": _part(took, 0.5), "p99_ms": _part(took, 0.99),
             "reserves": round(self.reservations(), 6), "over_limit": self.over_limit, "fallen": self.fallen,
             **({"message_bytes": self.message_bytes} if self._scenario.peers else {}),
+            **({"limits_used": round(self.limits_used(), 4),
+                "cold_used": round(self.cold_us / self.cold_could_us, 4) if self.cold_could_us else 0.0}
+               if self._scenario.lead else {}),
         }  # fmt: skip
 
     def digest(self) -> str:
--- a/lemonridge/lab/model/world.py
+++ b/lemonridge/lab/model/world.py
@@ -462,4 +462,5 @@
     def _start(self, node: Node) -> None:
         node.start(self.now())
         if node.up:
+            self.out.chilled(node, self.now())
             self.register(node, api.Condition.ACTIVE)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -276,3 +276,15 @@
     world.env.run(until=20_000)
     assert [type(event) for _, events in seen for event in events] == [api.Gone, api.Woke]
     assert seen[1][0] - seen[0][0] <= 7000
+
+
+def test_messages_use_more_of_limits_whose_demand_is_at_one_broker() -> None:
+    """On even slices a third and what was saved up; never more than is allowed and asked for."""
+    made = runs.load(str(Path(__file__).parents[1] / "lab" / "fleet.toml"))
+    used = []
+    for peers in (False, True):
+        told = spec.vary(made.scenario, {"peers": peers, "seconds": 10, "nodes.count": 5, "volumes": 12})
+        figures = World(read_scenario(told), 3).run().figures()
+        used.append(figures["limits_used"])
+        assert 0 < figures["cold_used"] < 2.5 and not figures["over_limit"] and not figures["fallen"]
+    assert 0.3 < used[0] < used[1] - 0.05 < 1
