Agree on a change of policy by Paxos slots and leases of epochs, with their checker

This is the pure part, which nothing hosts yet: the policy as a document in one form, agreement slot by slot with identities of stores, leases of epochs from a majority of voters, and the machine that puts them together over the fleet's datagrams (padded questions, a budget of their own).

Argument: what a broker goes by is [E, E] or [E, E+1], of which it keeps the strictest; two majorities share a voter that grants only what meets all it has out, so all meet in one epoch. A vote counts by its store's identity.

Eight planted faults are found (tests/test_rollout.py). Random histories of 3, 5 and 7 brokers with losses, copies, cuts, stops, kills and wipes: no two without a common epoch, all together once whole. Found on the way: a whole number in a file made another form of one document, so all others refused it.

--- a/lemonridge/fleet/machine.py
+++ b/lemonridge/fleet/machine.py
@@ -23,6 +23,7 @@
 from lemonridge.fleet.wire import (
     DATAGRAM_MAX,
     HEAD_BYTES,
+    ROLLOUT,
     TAG,
     WRAP,
     Ack,
@@ -58,6 +59,7 @@
 WINDOW = 64  # numbers of one sender that are told from repeats
 RECALL_US = 100_000  # between two of a fresh start's questions to those that have not answered yet
 READ_S = 500  # datagrams read in a second, at most
+POST_S = 400.0  # datagrams about policies that leave in a second, at most: beside the budget of bytes
 BURST_S = 1.0  # bytes that may leave at once, in seconds of their budget
 REGISTER_US = 10_000_000  # between two tellings that a limit is used
 PLACES_MAX = 8192  # of limits whose places are remembered
@@ -110,7 +112,14 @@
     """This broker is about to end."""
 
 
-Event = Received | Woke | Chilled | Leaving
+@dataclass(frozen=True, slots=True)
+class Post:
+    """Send what the machine that changes policies has to say, a datagram each."""
+
+    items: tuple[tuple[int, Item], ...]
+
+
+Event = Received | Woke | Chilled | Leaving | Post
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +162,16 @@
     verdict: Verdict
 
 
-Action = Tell | Sliced | Served | Judged | Wake
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """Something for the machine that changes policies came from a member's incarnation."""
+
+    source: int
+    life: int
+    item: Item
+
+
+Action = Tell | Sliced | Served | Judged | Passed | Wake
 
 
 @dataclass(slots=True)
@@ -204,6 +222,7 @@
         self._numbers = [0] * roster.size  # of the datagrams to each: gaps tell the other what was lost
         self._room, self._room_us = self.tuning.bytes_s * BURST_S, now_us
         self._reads, self._reads_us = 0, now_us
+        self._posts, self._posts_us = POST_S, now_us
         self._tick_us = self._swept_us = now_us
         self._out: dict[int, list[Item]] = {}
         self._wake_us: int | None = None
@@ -279,6 +298,9 @@
                 self._chilled(event, now_us)
             elif isinstance(event, Leaving):
                 self._leave(now_us)
+            elif isinstance(event, Post):
+                for who, item in event.items:
+                    self._post(who, item, now_us, actions)
         self._queue(self.members.tick(now_us))
         if now_us >= self._tick_us:
             self._tick_us = now_us + TICK_US
@@ -402,6 +424,8 @@
             if told is not None:
                 self.counts["judgements.agreed" if told.agreed else "judgements.lone"] += 1
                 actions.append(Judged(told))
+        elif isinstance(item, ROLLOUT):
+            actions.append(Passed(who, head.life, item))
         elif isinstance(item, Count):
             units = self.shared.heard(who, head.life, item.kind, item.key, item.total, now_us)
             if units and item.kind == Counted.SERVED and self._all_heard(now_us):
@@ -572,18 +596,32 @@
             if not self._afford(frame + sum(map(size, part)), now_us):
                 self.counts["items.left_out"] += len(part) + len(items)
                 return
-            self._numbers[who] += 1
-            head = Head(self.roster.me, self.members.state, self.members.life, self.members.round,
-                        self._numbers[who], now_us // 1000 % WRAP)
-            data = encode(head, part, self.roster.mark, self._tagger)
-            self.counts["datagrams.sent"] += 1
-            self.counts["bytes.sent"] += len(data)
-            actions.append(Tell(who, data))
+            self._tell(who, part, now_us, actions)
             if most is not None:
                 if items:
                     self.counts["items.left_out"] += len(items)
                 return
 
+    def _tell(self, who: int, items: list[Item], now_us: int, actions: list[Action]) -> None:
+        self._numbers[who] += 1
+        head = Head(self.roster.me, self.members.state, self.members.life, self.members.round,
+                    self._numbers[who], now_us // 1000 % WRAP)
+        data = encode(head, items, self.roster.mark, self._tagger)
+        self.counts["datagrams.sent"] += 1
+        self.counts["bytes.sent"] += len(data)
+        actions.append(Tell(who, data))
+
+    def _post(self, who: int, item: Item, now_us: int, actions: list[Action]) -> None:
+        """One datagram for one item, under a budget of its own: a change of policy is rare and must not wait
+        for what budgets have to say. What finds no room is lost, as on any link, and is said again."""
+        self._posts = min(POST_S, self._posts + POST_S * (now_us - self._posts_us) / 1e6)
+        self._posts_us = now_us
+        if self._posts < 1:
+            self.counts["posts.left_out"] += 1
+            return
+        self._posts -= 1
+        self._tell(who, [item], now_us, actions)
+
     def _afford(self, count: int, now_us: int) -> bool:
         rate = self.tuning.bytes_s
         self._room = min(rate * BURST_S, self._room + rate * (now_us - self._room_us) / 1e6)
--- a/lemonridge/fleet/wire.py
+++ b/lemonridge/fleet/wire.py
@@ -176,9 +176,143 @@
     LAYOUT: ClassVar[Struct] = Struct("")
 
 
-Item = Ping | Ack | PingFor | Fact | Want | Grant | Release | Recall | Cleared | Count | Judge | Here
+# A change of policy (lemonridge/rollout). Each question is filled up to the length of its answer.
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseAsk:
+    """I decide by epochs `low` to `high` (above `high`: by none), and would go by `want`, whose state is
+    `name`, alone."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<IIII8s16x")
+    ask: int
+    low: int
+    high: int
+    want: int
+    name: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """For question `ask`: go by `low` to `high` (above `high`: nothing is granted). The newest that I know to
+    be decided is `epoch`, state `name`; my store is `ident`."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<IIII8sQ")
+    ask: int
+    low: int
+    high: int
+    epoch: int
+    name: bytes
+    ident: int
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Phase 1a of the slot's agreement."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<II20x")
+    slot: int
+    ballot: int
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """Phase 1b: accepted so far at `took` (0: nothing), state `name`."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<III8sQ")
+    slot: int
+    ballot: int
+    took: int
+    name: bytes
+    ident: int
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Phase 2a."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<II8s")
+    slot: int
+    ballot: int
+    name: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Took:
+    """Phase 2b: accepted, by the store `ident`."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<IIQ")
+    slot: int
+    ballot: int
+    ident: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outbid:
+    """Not promised or accepted: `ballot` was promised before."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<II")
+    slot: int
+    ballot: int
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Could you decide by state `name`, which I would put to the vote in `slot`?"""
+
+    LAYOUT: ClassVar[Struct] = Struct("<I8s101x")
+    slot: int
+    name: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Opinion:
+    """Whether this broker could, and in `why`, UTF-8 filled up with zeros, why not."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<I8sB100s")
+    slot: int
+    name: bytes
+    good: int
+    why: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Tell me piece `piece` of state `name`."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<8sH179x")
+    name: bytes
+    piece: int
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """A part of a state: piece `piece` of `count`, `size` bytes of `data`."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<8sHHB176s")
+    name: bytes
+    piece: int
+    count: int
+    size: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """Slot `slot` came to state `name`."""
+
+    LAYOUT: ClassVar[Struct] = Struct("<I8s")
+    slot: int
+    name: bytes
+
+
+Item = (Ping | Ack | PingFor | Fact | Want | Grant | Release | Recall | Cleared | Count | Judge | Here
+        | LeaseAsk | Lease | Prepare | Promise | Accept | Took | Outbid | Check | Opinion | Need | Piece
+        | Chosen)
 KINDS: tuple[type[Item], ...] = (Ping, Ack, PingFor, Fact, Want, Grant, Release, Recall, Cleared, Count,
-                               Judge, Here)
+                               Judge, Here, LeaseAsk, Lease, Prepare, Promise, Accept, Took, Outbid, Check,
+                               Opinion, Need, Piece, Chosen)
+ROLLOUT: tuple[type[Item], ...] = KINDS[12:]  # passed on to the machine that changes policies
 _CODES = {kind: code for code, kind in enumerate(KINDS, 1)}
 _FIELDS = {kind: tuple(kind.__slots__) for kind in KINDS}
 
--- /dev/null
+++ b/lemonridge/lab/checkers/rollout.py
@@ -0,0 +1,321 @@
+"""Every state of a small rollout: the agreement by itself, without any time, and the leases by themselves.
+
+The real machines are run on states of plain tuples. Of the agreement a question may come to a voter at any
+time after it was said, again, or never, and its answer is heard or lost; that an answer comes late makes
+nothing new, since what it says is settled when it is given. Of the leases both ways may be late. A crash
+loses what is not durable, a wipe also what is; a stop is a member that makes no move.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterator
+from dataclasses import dataclass, replace
+from random import Random
+from typing import Any, NamedTuple
+
+from lemonridge.lab.checkers.exhaust import Found, explore
+from lemonridge.rollout.leases import NOTHING, Grant, Holder, Interval, Lessor, _Asked, common
+from lemonridge.rollout.paxos import NONE, Accepted, Promised, Proposer, Voter
+
+MEMBERS = 3
+VALUES = (b"policy-a", b"policy-b")
+SPAN, ERROR = 2, 1  # ticks
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How much may happen; what is 0 does not."""
+
+    tries: tuple[int, int] = (1, 1)  # of each proposer
+    wipes: int = 0
+    crashes: int = 0
+    epochs: int = 1  # of the leases: the highest that is decided
+    asks: int = 1  # questions of each broker
+    ticks: int = 3
+    lags: int = 0  # ticks that the clocks of brokers may lose in all
+    flights: int = 2  # messages that are under way at once; one more is lost
+    restarts: int = 0
+
+
+# Agreement
+
+
+class Ballot(NamedTuple):
+    """A proposer's round: what it heard, and what it puts to the vote."""
+
+    who: int
+    turn: int
+    alive: bool
+    promises: tuple[tuple[int, int, bytes], ...] = ()  # voter, took, value
+    value: bytes = NONE
+    accepts: tuple[int, ...] = ()
+    chosen: bool = False
+
+
+class Room(NamedTuple):
+    """Voters (identity, promised, took, value), and all rounds that were ever begun, in one slot."""
+
+    voters: tuple[tuple[int, int, int, bytes], ...]
+    rounds: tuple[Ballot, ...]
+    tries: tuple[int, ...]
+    wipes: int
+    crashes: int
+
+
+Wipe = Callable[[int], int]  # the identity of the store after one of this identity is lost
+
+
+def agreement(bounds: Bounds, states_max: int = 2_000_000, wipe: Wipe = lambda ident: ident + 1
+              ) -> Found[Room]:
+    """All that two proposers and three voters may come to; wrong is a second value that was chosen."""
+    config = dict.fromkeys(range(MEMBERS), 0)
+
+    def proposer(one: Ballot) -> Proposer:
+        made = Proposer(one.who, 1, VALUES[one.who], config, one.turn)
+        made._promises = {voter: Promised(1, made.number, took, value) for voter, took, value in one.promises}
+        made.value, made._accepts, made.chosen = one.value, set(one.accepts), one.chosen
+        return made
+
+    def noted(one: Ballot, made: Proposer) -> Ballot:
+        rows = tuple(sorted((n, told.took, told.value) for n, told in made._promises.items()))
+        return one._replace(promises=rows, value=made.value, accepts=tuple(sorted(made._accepts)),
+                            chosen=made.chosen)  # fmt: skip
+
+    def moves(room: Room) -> Iterator[tuple[str, Room]]:
+        top = max((one.turn for one in room.rounds), default=0)
+        for who in range(2):
+            if room.tries[who]:
+                begun = tuple(one._replace(alive=False) if one.who == who else one for one in room.rounds)
+                yield f"{who} tries", room._replace(rounds=(*begun, Ballot(who, top + 1, True)),
+                                                    tries=_put(room.tries, who, room.tries[who] - 1))
+        for place, one in enumerate(room.rounds):
+            for number, row in enumerate(room.voters):
+                yield from heard(room, place, one, number, Voter(row[0], 1, *row[1:]))
+            if one.alive and room.crashes:
+                gone = _put(room.rounds, place, one._replace(alive=False))
+                yield f"{one.who} dies", room._replace(rounds=gone, crashes=room.crashes - 1)
+        for number, row in enumerate(room.voters):
+            if room.wipes:
+                yield f"{number} is wiped", room._replace(
+                    voters=_put(room.voters, number, (wipe(row[0]), 0, 0, NONE)), wipes=room.wipes - 1)
+
+    def heard(room: Room, place: int, one: Ballot, number: int, voter: Voter) -> Iterator[tuple[str, Room]]:
+        made = proposer(one)
+        kinds = ["prepare"] if one.value == NONE else ["prepare", "accept"]
+        for kind in kinds:
+            voting = replace(voter)
+            if voting.ident != config[number]:
+                return  # a new store does not vote in this slot
+            told = (voting.prepare(1, made.number) if kind == "prepare"
+                    else voting.accept(1, made.number, one.value))
+            if not isinstance(told, (Promised, Accepted)):
+                continue
+            voters = _put(room.voters, number, (voting.ident, voting.promised, voting.took, voting.value))
+            yield f"{number} gets {kind} {made.number}, answer lost", room._replace(voters=voters)
+            if not one.alive:
+                continue
+            made = proposer(one)
+            if isinstance(told, Promised):
+                made.promise(number, voting.ident, told)
+            else:
+                made.accept(number, voting.ident, told)
+            yield f"{number} answers {kind} {made.number}", room._replace(
+                voters=voters, rounds=_put(room.rounds, place, noted(one, made)))
+
+    def wrong(room: Room) -> str:
+        chosen = {one.value for one in room.rounds if one.chosen}
+        return "" if len(chosen) < 2 else f"two values were chosen: {sorted(chosen)}"
+
+    start = Room(((0, 0, 0, NONE),) * MEMBERS, (), bounds.tries, bounds.wipes, bounds.crashes)
+    return explore(start, _alike, moves, wrong, states_max)
+
+
+def _put(rows: tuple[Any, ...], place: int, row: Any) -> tuple[Any, ...]:
+    return (*rows[:place], row, *rows[place + 1 :])
+
+
+def _alike(room: Room) -> Hashable:
+    """A room's key. The voters are alike: what counts is what is so of each, not which it is."""
+    profiles = []
+    for number, row in enumerate(room.voters):
+        told = tuple((next((one[1:] for one in made.promises if one[0] == number), None),
+                      number in made.accepts) for made in room.rounds)  # fmt: skip
+        profiles.append((row, told))
+    rounds = tuple((one.who, one.turn, one.alive, one.value, one.chosen) for one in room.rounds)
+    return tuple(sorted(profiles, key=repr)), rounds, room.tries, room.wipes, room.crashes
+
+
+# Leases
+
+
+class Fleet(NamedTuple):
+    """Brokers that are voters too, in discrete time."""
+
+    lessors: tuple[tuple[Any, ...], ...]  # by voter: quiet until, and (who, life, low, high, end, ask)
+    holders: tuple[tuple[Any, ...], ...]  # by broker: uses, want, ask, asks, grants
+    lives: tuple[int, ...]
+    newest: tuple[int, ...]  # what each voter has accepted or knows
+    chosen: int
+    at: int
+    lag: tuple[int, ...]
+    sent: tuple[tuple[Any, ...], ...]
+    asks: tuple[int, ...]
+    ticks: int
+    lags: int
+    restarts: int
+
+
+def _lessor(rows: tuple[Any, ...]) -> Lessor:
+    made = Lessor(SPAN, ERROR, 0)
+    made.quiet_us = rows[0]
+    for who, life, *grant in rows[1:]:
+        made.grants.setdefault(who, {})[life] = Grant(*grant)
+    return made
+
+
+def _lessor_rows(made: Lessor, now: int) -> tuple[Any, ...]:
+    """What it knows; how long ago something ended is nothing to anyone."""
+    rows = sorted((who, life, one.low, one.high, max(one.end_us, now), one.ask)
+                  for who, lives in made.grants.items() for life, one in lives.items())  # fmt: skip
+    return (max(made.quiet_us, now), *rows)
+
+
+def _holder(row: tuple[Any, ...]) -> Holder:
+    uses, want, ask, asks, grants = row
+    made = Holder(SPAN, tuple(range(MEMBERS)), uses, want, ask)
+    made._asks = {number: _Asked(*told) for number, *told in asks}
+    made._grants = {voter: (told, end) for voter, told, end in grants}
+    return made
+
+
+def _holder_row(made: Holder, now: int) -> tuple[Any, ...]:
+    asks = tuple((n, one.sent_us, one.uses, one.want) for n, one in made._asks.items()
+                 if one.sent_us + SPAN > now)  # fmt: skip
+    grants = tuple(sorted((voter, told, end) for voter, (told, end) in made._grants.items() if end > now))
+    return made.uses, made.want, made._ask, asks, grants
+
+
+def leases(bounds: Bounds, states_max: int = 2_000_000) -> Found[Fleet]:
+    """All that three brokers with leases may come to; wrong is two that go by no common epoch."""
+    start, moves, wrong = _leasing(bounds)
+    return explore(start, lambda fleet: fleet, moves, wrong, states_max)
+
+
+def wander(bounds: Bounds, seed: int, walks: int, steps: int = 60) -> str:
+    """Random histories within wider bounds; what is broken first, or nothing."""
+    random = Random(seed)
+    start, moves, wrong = _leasing(bounds)
+    for _ in range(walks):
+        fleet = start
+        for _ in range(steps):
+            after = list(moves(fleet))
+            if not after:
+                break
+            fleet = random.choice(after)[1]
+            if told := wrong(fleet):
+                return told
+    return ""
+
+
+def _leasing(bounds: Bounds) -> tuple[Fleet, Callable[[Fleet], Iterator[tuple[str, Fleet]]],
+                                      Callable[[Fleet], str]]:
+    """The start, what may happen, and what is wrong."""
+
+    def clock(fleet: Fleet, n: int) -> int:
+        return fleet.at - fleet.lag[n]
+
+    def posted(fleet: Fleet, messages: list[tuple[Any, ...]]) -> Iterator[Fleet]:
+        """With each of some messages lost or under way, as far as there is room."""
+        if not messages:
+            yield fleet
+            return
+        yield from posted(fleet, messages[1:])
+        if len(fleet.sent) < bounds.flights:
+            yield from posted(fleet._replace(sent=tuple(sorted((*fleet.sent, messages[0])))), messages[1:])
+
+    def with_holder(fleet: Fleet, n: int, made: Holder) -> Fleet:
+        return fleet._replace(holders=_put(fleet.holders, n, _holder_row(made, clock(fleet, n))))
+
+    def vote(fleet: Fleet, voter: int, n: int, life: int, ask: int, uses: Interval, want: int
+             ) -> tuple[Fleet, Interval]:
+        made = _lessor(fleet.lessors[voter])
+        told = made.asked(n, life, ask, uses, want, fleet.newest[voter], fleet.at)
+        return fleet._replace(lessors=_put(fleet.lessors, voter, _lessor_rows(made, fleet.at))), told
+
+    def asking(fleet: Fleet, n: int) -> Iterator[tuple[str, Fleet]]:
+        made = _holder(fleet.holders[n])
+        ask, uses, want = made.ask(clock(fleet, n))
+        after, told = vote(fleet._replace(asks=_put(fleet.asks, n, fleet.asks[n] - 1)), n, n, fleet.lives[n],
+                           ask, uses, want)  # its own vote needs no message
+        made.granted(n, ask, told, clock(fleet, n))
+        after = with_holder(after, n, made)
+        others = [voter for voter in range(MEMBERS) if voter != n]
+        for one in posted(after, [("ask", voter, n, fleet.lives[n], ask, uses, want) for voter in others]):
+            yield f"{n} asks", one
+
+    def coming(fleet: Fleet, message: tuple[Any, ...]) -> Iterator[tuple[str, Fleet]]:
+        rest = list(fleet.sent)
+        rest.remove(message)
+        fleet = fleet._replace(sent=tuple(rest))
+        kind, voter, n, life, ask = message[:5]
+        if kind == "ask":
+            after, told = vote(fleet, voter, n, life, ask, message[5], message[6])
+            answers = [("grant", voter, n, life, ask, told)] if told != NOTHING else []
+            for one in posted(after, answers):
+                yield f"comes {message}", one
+        elif life == fleet.lives[n]:
+            made = _holder(fleet.holders[n])
+            made.granted(voter, ask, message[5], clock(fleet, n))
+            yield f"comes {message}", with_holder(fleet, n, made)
+
+    def moves(fleet: Fleet) -> Iterator[tuple[str, Fleet]]:
+        for n in range(MEMBERS):
+            if fleet.asks[n]:
+                yield from asking(fleet, n)
+            if fleet.newest[n] == fleet.chosen < bounds.epochs:
+                newest = _put(fleet.newest, n, fleet.chosen + 1)
+                more = sum(one > fleet.chosen for one in newest) > MEMBERS // 2
+                yield f"{n} accepts", fleet._replace(newest=newest, chosen=fleet.chosen + more)
+            made = _holder(fleet.holders[n])
+            if made.want < fleet.chosen:
+                made.learnt(fleet.chosen, clock(fleet, n))
+                known = _put(fleet.newest, n, max(fleet.newest[n], fleet.chosen))
+                yield f"{n} learns {fleet.chosen}", with_holder(fleet._replace(newest=known), n, made)
+            if fleet.lags:
+                yield f"{n}'s clock lags", fleet._replace(lag=_put(fleet.lag, n, fleet.lag[n] + 1),
+                                                          lags=fleet.lags - 1)
+            if fleet.restarts:
+                quiet = (fleet.at + SPAN + ERROR,)
+                yield f"{n} restarts", fleet._replace(
+                    lives=_put(fleet.lives, n, fleet.lives[n] + 1), restarts=fleet.restarts - 1,
+                    holders=_put(fleet.holders, n, (NOTHING, made.want, 0, (), ())),
+                    lessors=_put(fleet.lessors, n, quiet))  # fmt: skip
+        for message in dict.fromkeys(fleet.sent):
+            yield from coming(fleet, message)
+        if fleet.ticks:
+            at = fleet.at + 1
+            lessors = tuple(_lessor_rows(_lessor(rows), at) for rows in fleet.lessors)
+            yield "time passes", fleet._replace(at=at, ticks=fleet.ticks - 1, lessors=lessors)
+
+    def wrong(fleet: Fleet) -> str:
+        held = [_holder(row) for row in fleet.holders]
+        used = [one.uses if one.valid(clock(fleet, n)) else NOTHING for n, one in enumerate(held)]
+        return "" if common(used) else f"they go by {used}"
+
+    everyone = range(MEMBERS)
+    lessors, holders = [Lessor(SPAN, ERROR, 0) for _ in everyone], []
+    for n in everyone:  # all go by epoch 0 at first, by leases as good as new
+        made = Holder(SPAN, tuple(everyone))
+        ask, uses, want = made.ask(10)
+        for voter in everyone:
+            made.granted(voter, ask, lessors[voter].asked(n, 1, ask, uses, want, 0, 10), 10)
+        holders.append(_holder_row(made, 10))
+    start = Fleet(tuple(_lessor_rows(one, 10) for one in lessors), tuple(holders), (1,) * MEMBERS,
+                  (0,) * MEMBERS, 0, 10, (0,) * MEMBERS, (), (bounds.asks,) * MEMBERS, bounds.ticks,
+                  bounds.lags, bounds.restarts)  # fmt: skip
+    return start, moves, wrong
+
+
+STATED_AGREEMENT = (Bounds(), Bounds(wipes=1), Bounds(tries=(2, 1)), Bounds(tries=(2, 1), crashes=1))
+STATED_LEASES = (Bounds(flights=1, ticks=2), Bounds(flights=1, ticks=3), Bounds(flights=0, ticks=5, asks=2))
+WIDE = Bounds(asks=5, epochs=3, ticks=14, lags=1, flights=6, restarts=1)
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,453 @@
+"""Changes of policy: the document, the agreement, the leases, and brokers on a network of their own."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from random import Random
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lemonridge.fleet.wire import KINDS, Head, Item, State, decode, encode
+from lemonridge.lab.checkers import rollout as checker
+from lemonridge.rollout import document, leases, machine, paxos
+from lemonridge.rollout.document import Class, Plan, Policy, PolicyError, Rules
+from lemonridge.rollout.leases import NOTHING, common
+from lemonridge.rollout.machine import Keep, Rollout, Say
+
+STEP_US = 10_000
+
+
+def policy(limit: float = 24.0, aim_ms: float = 300.0, attempts: int = 4) -> Policy:
+    basic = Plan(name="basic", limit=limit, burst=12.0, slack=2.0)
+    return Policy(plan=(basic, Plan(name="gold", reserve=40.0)),
+                  classes=(Class(name="read", aim_ms=aim_ms),),
+                  rules=Rules(max_attempts=attempts))  # fmt: skip
+
+
+def judge(told: Policy) -> str:
+    return document.contains(told, document.floor(policy(), 0.25))
+
+
+class Net:
+    """Brokers, each with a disk, and what is between them: delays, losses, cuts, copies, crashes, stops."""
+
+    def __init__(self, size: int = 5, seed: int = 1, error_us: int = machine.ERROR_US) -> None:
+        self.extra, self.slow, self.error_us = [0] * size, [1.0] * size, error_us
+        self.now, self.size, self.random = 10**9, size, Random(seed)
+        self.names = tuple(f"b{n}" for n in range(size))
+        self.genesis = document.State(epoch=0, prior="", voters=dict.fromkeys(self.names[:5], 0),
+                                      policy=policy())
+        kept = machine.Kept(0, document.encode(self.genesis))
+        self.disks: list[bytes | None] = [machine.msgspec.msgpack.encode(kept)] * size
+        self.lives = [0] * size
+        self.brokers: list[Rollout | None] = [None] * size
+        self.stopped: set[int] = set()
+        self.cut: set[tuple[int, int]] = set()
+        self.loss = self.copies = 0.0
+        self.judges: list[Callable[[Policy], str]] = [judge] * size
+        self.flying: list[tuple[int, int, int, int, Item]] = []  # when, to, from, its life, what
+        self.decided: dict[int, str] = {}
+        for n in range(size):
+            self.start(n)
+
+    def start(self, n: int) -> None:
+        self.lives[n] += 1
+        ident = self.random.randrange(1, 1 << 60)
+        self.brokers[n] = Rollout(n, self.names, self.lives[n], self.genesis, self.disks[n], ident,
+                                  lambda told, n=n: self.judges[n](told), n, self.at(n),  # type: ignore[misc]
+                                  error_us=self.error_us)
+        self.take(n)
+
+    def at(self, n: int) -> int:
+        """A broker's own clock."""
+        return 10**9 + int((self.now - 10**9) * self.slow[n])
+
+    def kill(self, n: int, wiped: bool = False) -> None:
+        self.brokers[n] = None
+        if wiped:
+            self.disks[n] = None
+
+    def broker(self, n: int) -> Rollout:
+        made = self.brokers[n]
+        assert made is not None
+        return made
+
+    def take(self, n: int, most: int | None = None) -> None:
+        """Do what a broker wants done, in its order; it may die after `most` things of it."""
+        made = self.broker(n)
+        out, made.out = made.out, []
+        for action in out[:most]:
+            if isinstance(action, Keep):
+                self.disks[n] = action.data
+            elif isinstance(action, Say) and (n, action.to) not in self.cut:
+                for _ in range(1 + (self.random.random() < self.copies)):
+                    if self.random.random() >= self.loss:
+                        at = self.now + self.random.randrange(500, 25_000) + self.extra[action.to]
+                        self.flying.append((at, action.to, n, self.lives[n], action.item))
+
+    def step(self) -> None:
+        self.now += STEP_US
+        due = [one for one in self.flying if one[0] <= self.now and one[1] not in self.stopped]
+        self.flying = [one for one in self.flying if one not in due]
+        for _, to, source, life, item in due:
+            if self.brokers[to] is not None:
+                self.broker(to).heard(source, life, item, self.at(to))
+                self.take(to)
+        for n, made in enumerate(self.brokers):
+            if made is not None and n not in self.stopped:
+                made.tick(self.at(n))
+                self.take(n)
+        self.check()
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds * 1e6 / STEP_US)):
+            self.step()
+
+    def check(self) -> None:
+        """No two go by policies without a common epoch, and an epoch is one state everywhere."""
+        modes = self.modes()
+        assert common(modes.values()), modes
+        for made in self.brokers:
+            if made is not None:
+                told = self.decided.setdefault(made.state.epoch, made.name.hex())
+                assert told == made.name.hex(), (made.state.epoch, told, made.name.hex())
+
+    def modes(self) -> dict[int, leases.Interval]:
+        """By what each decides; one that is stopped sends nothing."""
+        return {n: made.mode(self.at(n)) for n, made in enumerate(self.brokers)
+                if made is not None and n not in self.stopped}
+
+    def until(self, true: Callable[[], bool], most_s: float) -> float:
+        """Seconds until something is so."""
+        begun = self.now
+        while not true():
+            assert self.now - begun < most_s * 1e6, (self.modes(), [b and b.results for b in self.brokers])
+            self.step()
+        return (self.now - begun) / 1e6
+
+    def everywhere(self, epoch: int) -> bool:
+        return all(mode == (epoch, epoch) for mode in self.modes().values())
+
+    def steady(self) -> Net:
+        self.until(lambda: self.everywhere(0), 3.0)
+        return self
+
+
+class Documents(unittest.TestCase):
+    def test_equal_policies_have_equal_bytes_and_other_forms_are_refused(self) -> None:
+        state = document.State(epoch=1, prior="", voters={"a": 0}, policy=policy())
+        data = document.encode(state)
+        self.assertEqual(document.decode(data), state)
+        for other in (data + b" ", data.replace(b"24.0", b"24.00"), data[:-1], b"[]", b"x" * 30_000):
+            with self.assertRaises(PolicyError):
+                document.decode(other)
+        big = policy().plan[0]
+        many = tuple(document.Plan(name=f"{n:040}", limit=big.limit) for n in range(64))
+        rows = tuple(Class(name=f"{n:040}", aim_ms=1.0) for n in range(32))
+        self.assertLess(len(document.encode(document.State(
+            epoch=1, prior="0" * 16, voters={}, policy=Policy(plan=many, classes=rows)))), document.VALUE_MAX)
+
+    def test_a_file_is_checked_whole_and_names_its_key(self) -> None:
+        good = {"plan": [{"name": "basic", "limit": 5}], "class": [{"name": "read", "aim_ms": 100}]}
+        self.assertEqual(document.policy_of(good).plan[0].limit, 5.0)
+        for change, word in (({"rules": {"max_attempts": 5}}, "max_attempts"), ({"plans": []}, "plans"),
+                             ({"plan": [{"name": "a"}, {"name": "a"}]}, "plan"), ({"class": []}, "class"),
+                             ({"plan": [{"name": "a", "limit": -1}]}, "limit")):  # fmt: skip
+            with self.assertRaises(PolicyError) as caught:
+                document.policy_of({**good, **change})
+            self.assertIn(word, str(caught.exception))
+
+    @given(st.floats(0, 100), st.floats(0, 100), st.integers(1, 4), st.integers(1, 4))
+    def test_the_stricter_keeps_both_and_the_floor_is_within_all(self, a: float, b: float, m: int,
+                                                                 n: int) -> None:
+        one, other = policy(a, attempts=m), policy(b, attempts=n)
+        both = document.stricter(one, other)
+        for told in (one, other):
+            self.assertTrue(not told.plan[0].limit or 0 < both.plan[0].limit <= told.plan[0].limit)
+            self.assertLessEqual(both.rules.max_attempts, told.rules.max_attempts)
+        least = document.floor(policy(), 0.25)
+        self.assertEqual(bool(document.contains(one, least)), 0 < a < 6.0)
+
+    def test_what_differs_is_told_in_lines(self) -> None:
+        self.assertEqual(document.difference(policy(), policy(12, 200, 2)), [
+            "plan basic: limit 24 -> 12", "class read: aim_ms 300 -> 200", "rules: max_attempts 4 -> 2"])
+
+    def test_each_item_on_the_wire_comes_back_and_no_answer_is_longer_than_its_question(self) -> None:
+        filler = {bytes: b"\x01" * 8, int: 1}
+        for kind in KINDS[12:]:
+            fields = [filler[bytes] if "bytes" in str(kind.__dataclass_fields__[name].type) else 1
+                      for name in kind.__slots__]  # fmt: skip
+            size = kind.LAYOUT.size
+            item = kind(*fields)
+            head = Head(1, State.UP, 5, 0, 1, 1)
+            told = decode(encode(head, [item], 7), 7).items[0]
+            self.assertEqual(told.LAYOUT.size, size)
+            self.assertEqual([getattr(told, n) for n in kind.__slots__ if n not in ("data", "why")],
+                             [getattr(item, n) for n in kind.__slots__ if n not in ("data", "why")])
+        from lemonridge.fleet import wire
+        for question, answer in (("LeaseAsk", "Lease"), ("Prepare", "Promise"), ("Accept", "Took"),
+                                 ("Check", "Opinion"), ("Need", "Piece")):  # fmt: skip
+            self.assertGreaterEqual(getattr(wire, question).LAYOUT.size, getattr(wire, answer).LAYOUT.size)
+
+
+class Changes(unittest.TestCase):
+    """Five brokers, one thing that goes wrong."""
+
+    def test_with_all_up_it_is_in_force_everywhere_within_two_seconds_and_nobody_rests(self) -> None:
+        net = Net().steady()
+        self.assertEqual(net.broker(1).propose(policy(12), "half", net.now), "")
+        rested: list[leases.Interval] = []
+        begun = net.now
+        while not net.everywhere(1):
+            self.assertLess(net.now - begun, 2_000_000)
+            net.step()
+            rested += [mode for mode in net.modes().values() if mode == NOTHING]
+        self.assertFalse(rested)  # the stricter of both meanwhile, never the floor
+        self.assertEqual(net.broker(1).results[-1].end, "in force")
+        self.assertEqual(net.broker(3).policy((1, 1)), policy(12))
+
+    def test_with_one_dead_it_waits_for_its_lease_and_no_longer(self) -> None:
+        net = Net().steady()
+        net.kill(4)
+        net.broker(0).propose(policy(12), "half", net.now)
+        took = net.until(lambda: net.everywhere(1), 4.1)
+        self.assertGreater(took, 1.0)
+        net.start(4)  # it takes the policy in force before it goes by any
+        net.until(lambda: net.everywhere(1), 4.0)
+
+    def test_one_that_cannot_makes_it_nowhere_and_says_why(self) -> None:
+        net = Net().steady()
+        net.judges[3] = lambda told: "class 'read' is not served here"
+        net.broker(0).propose(policy(12), "half", net.now)
+        net.run(3.0)
+        self.assertEqual(net.broker(0).results[-1].end, "nowhere")
+        self.assertIn("b3: class 'read'", net.broker(0).results[-1].why)
+        self.assertTrue(net.everywhere(0))
+
+    def test_one_that_was_down_and_cannot_goes_by_the_floor_and_says_why(self) -> None:
+        net = Net().steady()
+        net.kill(3)
+        net.broker(0).propose(policy(12), "half", net.now)
+        net.run(4.0)
+        net.judges[3] = lambda told: "too little memory"
+        net.start(3)
+        net.run(4.0)
+        self.assertEqual((net.modes()[3], net.broker(3).fault), (NOTHING, "too little memory"))
+
+    def test_a_coordinator_that_dies_at_any_step_leaves_it_in_force_everywhere_or_nowhere(self) -> None:
+        ends = set()
+        for at in range(0, 360_000, 15_000):
+            net = Net(seed=at).steady()
+            net.broker(2).propose(policy(12), "half", net.now)
+            begun = net.now
+            while net.now - begun < at:
+                net.step()
+            net.kill(2)
+            net.run(6.0)
+            epochs = {made.state.epoch for made in net.brokers if made is not None}
+            self.assertEqual(len(epochs), 1)
+            self.assertTrue(net.everywhere(epochs.copy().pop()))
+            ends |= epochs
+            net.start(2)
+            net.until(lambda net=net: net.everywhere(net.broker(0).state.epoch), 5.0)  # type: ignore[misc]
+        self.assertEqual(ends, {0, 1})
+
+    def test_one_that_dies_between_its_disk_and_its_word_breaks_nothing(self) -> None:
+        for most in range(4):
+            net = Net(seed=most).steady()
+            net.broker(0).propose(policy(12), "half", net.now)
+            net.run(0.1)
+            net.broker(1).heard(0, 1, machine.Prepare(1, paxos.ballot(7, 0)), net.now)
+            net.take(1, most)
+            net.kill(1)
+            net.start(1)
+            net.run(8.0)
+            self.assertTrue(net.everywhere(net.broker(0).state.epoch))
+
+    def test_two_proposals_at_once_come_into_force_one_after_the_other_or_one(self) -> None:
+        for seed in range(6):
+            net = Net(seed=seed).steady()
+            net.broker(0).propose(policy(12), "half", net.now)
+            net.broker(4).propose(policy(48), "double", net.now)
+            net.run(6.0)
+            ends = sorted(net.broker(n).results[-1].end for n in (0, 4))
+            self.assertEqual(ends.count("in force"), 1, ends)
+            self.assertTrue(net.everywhere(1))
+
+    def test_a_minority_that_is_cut_off_keeps_its_lease_and_then_the_floor_until_it_heals(self) -> None:
+        net = Net().steady()
+        net.cut = {(a, b) for a in (0, 1) for b in (2, 3, 4)} | {(b, a) for a in (0, 1) for b in (2, 3, 4)}
+        net.run(2.5)
+        self.assertEqual({n: m for n, m in net.modes().items() if n < 2}, {0: NOTHING, 1: NOTHING})
+        self.assertTrue(net.broker(0).propose(policy(12), "half", net.now))  # it may not know the newest
+        self.assertEqual(net.broker(3).propose(policy(12), "half", net.now), "")
+        net.run(2.0)
+        self.assertEqual(net.modes()[3], (1, 1))
+        net.cut = set()
+        self.assertLess(net.until(lambda: net.everywhere(1), 2.0), 1.0)
+
+    def test_one_that_was_stopped_over_a_change_goes_by_nothing_old(self) -> None:
+        net = Net().steady()
+        net.stopped = {2}
+        net.broker(0).propose(policy(12), "half", net.now)
+        net.run(5.0)
+        net.stopped = set()
+        self.assertEqual(net.broker(2).mode(net.now), NOTHING)  # before its timer, by the clock alone
+        net.until(lambda: net.everywhere(1), 1.0)
+
+    def test_a_wiped_disk_does_not_vote_until_the_others_decided_so(self) -> None:
+        net = Net().steady()
+        net.broker(0).propose(policy(12), "half", net.now)
+        net.until(lambda: net.everywhere(1), 2.0)
+        net.kill(3, wiped=True)
+        net.start(3)
+        self.assertFalse(net.broker(3).votes)
+        net.until(lambda: net.broker(3).votes and net.everywhere(2), 8.0)
+        self.assertEqual(net.broker(0).state.policy, policy(12))
+
+    def test_a_state_of_many_pieces_comes_over_a_bad_network(self) -> None:
+        net = Net().steady()
+        net.loss = net.copies = 0.2
+        rows = tuple(Class(name=f"class {n}", aim_ms=100.0) for n in range(30))
+        plans = (*policy().plan, *(Plan(name=f"plan {n}", weight=float(n)) for n in range(30)))
+        net.broker(1).propose(Policy(plan=plans, classes=rows), "large", net.now)
+        net.until(lambda: net.everywhere(1), 8.0)
+
+    @settings(max_examples=12, deadline=None)
+    @given(st.integers(0, 10**6), st.sampled_from((3, 5, 7)))
+    def test_whatever_happens_no_two_policies_are_in_force_and_all_come_together(self, seed: int,
+                                                                                 size: int) -> None:
+        net, random = Net(size, seed), Random(seed)
+        net.run(2.5)
+        for turn in range(14):
+            n = random.randrange(size)
+            what = random.randrange(8)
+            if what < 3 and net.brokers[n] is not None:
+                net.broker(n).propose(policy(float(random.randrange(6, 60))), f"turn {turn}", net.now)
+            elif what == 3 and net.brokers[n] is not None and net.brokers.count(None) < size // 2:
+                wiped = random.random() < 0.3 and all(b is None or b.votes for b in net.brokers[:5])
+                net.kill(n, wiped)
+            elif what == 4:
+                net.stopped = {n} if random.random() < 0.7 else set()
+            elif what == 5:
+                some = set(random.sample(range(size), random.randrange(1, size)))
+                net.cut = {(a, b) for a in range(size) for b in range(size)
+                           if (a in some) != (b in some) and random.random() < 0.8}  # fmt: skip
+            elif what == 6:
+                net.loss, net.copies = random.choice((0, 0.1, 0.4)), random.choice((0, 0.3))
+            else:
+                for down in [n for n, made in enumerate(net.brokers) if made is None]:
+                    net.start(down)
+            net.run(random.uniform(0.05, 1.5))
+        net.cut, net.stopped, net.loss, net.copies = set(), set(), 0.0, 0.0
+        for down in [n for n, made in enumerate(net.brokers) if made is None]:
+            net.start(down)
+        net.until(lambda: net.everywhere(max(b.state.epoch for b in net.brokers if b)), 20.0)
+
+
+class Searched(unittest.TestCase):
+    """Every state of a small one, and faults that are found there."""
+
+    def test_no_two_values_are_chosen_in_any_order(self) -> None:
+        for bounds in checker.STATED_AGREEMENT[:2]:
+            found = checker.agreement(bounds)
+            self.assertEqual((found.broken, found.whole), ("", True))
+            self.assertGreater(found.states, 3_000)
+
+    def test_no_two_policies_are_gone_by_in_any_order(self) -> None:
+        found = checker.leases(checker.Bounds(flights=1, ticks=3), 8_000)
+        self.assertEqual(found.broken, "")
+
+    def test_planted_faults_of_the_agreement_are_found(self) -> None:
+        def deaf(made: paxos.Proposer, who: int, ident: int, told: paxos.Promised) -> bool:
+            """Puts what it wants, whatever was accepted before."""
+            return real_promise(made, who, ident, paxos.Promised(told.slot, told.ballot, 0, paxos.NONE))
+
+        def hasty(made: paxos.Voter, slot: int, number: int, value: bytes) -> paxos.Accepted:
+            """Accepts what is under its promise."""
+            made.took, made.value = number, value
+            return paxos.Accepted(slot, number)
+
+        real_promise = paxos.Proposer.promise
+        for what, plant in (("promise", mock.patch.object(paxos.Proposer, "promise", deaf)),
+                            ("accept", mock.patch.object(paxos.Voter, "accept", hasty)),
+                            ("quorum", mock.patch.object(paxos.Proposer, "quorum", 1))):  # fmt: skip
+            with self.subTest(what), plant:
+                self.assertIn("two values", checker.agreement(checker.Bounds()).broken)
+        forgets = checker.agreement(checker.Bounds(wipes=1), wipe=lambda ident: ident)
+        self.assertIn("two values", forgets.broken)  # a lost disk that votes as if it remembered
+
+    def test_a_switch_that_does_not_wait_is_found(self) -> None:
+        self.assertEqual(checker.wander(checker.WIDE, 1, 60), "")
+        with mock.patch.object(leases, "meet", lambda *_: True):
+            self.assertIn("they go by", checker.wander(checker.WIDE, 1, 600))
+
+
+class Planted(unittest.TestCase):
+    """Faults of the leases, each in the history that shows it; the same history holds without it."""
+
+    def late_answers(self) -> None:
+        """One broker's last answers come nearly a lease late, and then it is cut off."""
+        net = Net(3).steady()
+        net.extra[0] = 1_800_000
+        net.run(0.55)  # it has asked once
+        net.cut = {(0, 1), (0, 2)}
+        net.run(1.0)
+        net.broker(1).propose(policy(12), "half", net.now)
+        net.run(4.0)
+        assert net.modes()[1] == (1, 1)
+
+    def slow_clock(self, error_us: int) -> None:
+        """A broker whose clock runs a tenth slow is cut off."""
+        net = Net(3, error_us=error_us)
+        net.slow[0] = 0.9
+        net.steady()
+        net.run(0.25)
+        net.cut = {(0, 1), (0, 2), (1, 0), (2, 0)}
+        net.broker(1).propose(policy(12), "half", net.now)
+        net.run(4.0)
+        assert net.modes()[1] == (1, 1)
+
+    def restarts(self) -> None:
+        """One broker is cut off, the other two start again and change the policy at once."""
+        net = Net(3).steady()
+        net.cut = {(0, 1), (0, 2), (1, 0), (2, 0)}
+        for n in (1, 2):
+            net.kill(n)
+            net.start(n)
+        net.until(lambda: net.broker(1).propose(policy(12), "half", net.now) == "", 5.0)
+        net.run(3.0)
+        assert net.modes()[1] == (1, 1)
+
+    def test_a_lease_that_counts_from_its_answer_is_found(self) -> None:
+        def from_now(made: leases.Holder, voter: int, ask: int, told: leases.Interval, now: int) -> bool:
+            asked = made._asks.get(ask)
+            if asked is not None:
+                asked.sent_us = now
+            return real(made, voter, ask, told, now)
+
+        real = leases.Holder.granted
+        self.late_answers()
+        with mock.patch.object(leases.Holder, "granted", from_now), self.assertRaises(AssertionError) as told:
+            self.late_answers()
+        self.assertIn("(0, 0)", str(told.exception))
+
+    def test_a_voter_that_adds_no_error_of_clocks_is_found(self) -> None:
+        self.slow_clock(300_000)
+        with self.assertRaises(AssertionError) as told:
+            self.slow_clock(0)
+        self.assertIn("(0, 0)", str(told.exception))
+
+    def test_a_voter_that_grants_at_once_after_its_start_is_found(self) -> None:
+        def at_once(made: leases.Lessor, span: int, error: int, now: int) -> None:
+            real(made, span, error, now)
+            made.quiet_us = now
+
+        real = leases.Lessor.__init__
+        self.restarts()
+        with mock.patch.object(leases.Lessor, "__init__", at_once), self.assertRaises(AssertionError) as told:
+            self.restarts()
+        self.assertIn("(0, 0)", str(told.exception))
