Decide by one policy of the fleet: leases fence it, operators propose changes

Change: governance.py keeps the votes on disk (one small file with a checksum, fsync, rename) before they leave, and is the decider's fence: asked before each decision and before each attempt's first byte, so a lease that ended while the process was stopped is not decided by. An attempt that was decided by other epochs is withheld (it never ran). What waits goes by the new plans at once (api.Configured.same). Nodes get X-Policy-Epoch. A broker is ready once it has had a lease.

--- a/lemonridge/api.py
+++ b/lemonridge/api.py
@@ -212,9 +212,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Configured:
-    """New settings, from here on; the arrivals that follow count classes and plans by them."""
+    """New settings, from here on; the arrivals that follow count classes and plans by them. `same`: these
+    stand where they stood, so what waits goes by the new plans too."""
 
     settings: Settings
+    same: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import signal
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -68,6 +69,8 @@
         it; what is held goes on, and discovery is asked at its new address at once."""
         nonlocal platform
         old, platform = platform, new
+        if made.governor is not None:  # what of it is policy is proposed; the rest is in force at once
+            new = replace(new, settings=made.governor.configure(new))
         made.decider.configure(new.settings)
         if made.peers is not None:
             made.peers.configure(new.settings)
@@ -84,6 +87,13 @@
 
         made.speak(Peers(platform.fleet, made.decider, made.clock, made.counters, platform.seed, settings))
         nodes.minds_stops = True
+        if platform.fleet.rollout is not None:
+            from lemonridge.governance import Governor  # only an operator's file sets it up
+
+            assert made.peers is not None
+            made.governor = governor = Governor(platform, made.peers, made.decider, made.clock, made.counters)
+            nodes.epoch, front.sure = governor.epoch, governor.sure
+            made.endings.insert(0, governor.stop)
     front.bind(platform.listen, platform.passed)
     desk = Desk(made, front, life)
     if platform.admin is not None:
@@ -123,6 +133,9 @@
             return self._ready()
         if order.call is Call.FLEET:
             return seen(self._service)
+        if order.call in (Call.POLICY, Call.PROPOSE, Call.ABORT):
+            governor = self._service.governor
+            return governor.act(order) if governor else Reply(False, "this broker goes by its own file")
         if self._taking:
             return Reply(False, "not in charge yet")
         reply = self.obey(order)
--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -126,6 +126,12 @@
     return load(options)
 
 
+def _policy(options: argparse.Namespace) -> int:
+    from lemonridge import policies  # it needs the libraries of operators' files
+
+    return policies.run(policies.parser().parse_args(options.words))
+
+
 def _fleet(options: argparse.Namespace) -> int:
     import asyncio
 
@@ -225,6 +231,9 @@
     fleet.add_argument("address", nargs="+", metavar="ADDR", help="HOST:PORT, where operators call a broker")
     fleet.add_argument("--json", action="store_true")
     fleet.set_defaults(run=_fleet)
+    policy = commands.add_parser("policy", help="one policy for the whole fleet: check, propose, status ...")
+    policy.add_argument("words", nargs=argparse.REMAINDER, metavar="PART ...")
+    policy.set_defaults(run=_policy)
     _lab_parser(commands.add_parser("lab", help="try designs in a model, at sizes that sockets don't reach"))
     version = commands.add_parser("version", help="print the version")
     version.set_defaults(run=_version)
--- a/lemonridge/config.py
+++ b/lemonridge/config.py
@@ -40,6 +40,15 @@
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutPlan:
+    """How this broker takes part in changes of policy."""
+
+    store: str  # the file of its votes
+    span_us: int = 2_000_000  # of a lease
+    floor: float = 0.25  # part of the file's own limits that a broker without a lease goes by
+
+
 @dataclass(frozen=True, slots=True)
 class FleetPlan:
     """This broker among its peers: the roster with what each one's address is from here."""
@@ -53,6 +62,7 @@
     secret: bytes = b""
     further_rate: float = 0.0
     admin: Address | None = None  # where operators call, where there is no platform to say so
+    rollout: RolloutPlan | None = None  # None: each broker goes by its own file
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -88,6 +88,13 @@
     def renewed(self) -> None: ...
 
 
+class Fence(Protocol):
+    """Says by which settings the decisions go, where that may end by time alone."""
+
+    def before(self, now_us: int) -> api.Settings | None:
+        """Settings to go by from now on; None where nothing changed."""
+
+
 class Decider:
     """Owns the scheduler. The events of one turn of the event loop go to it together."""
 
@@ -103,6 +110,7 @@
         self._taken = 0
         self.relist: Callable[[], tuple[api.Entry, ...]] = tuple
         self.onlooker: Onlooker | None = None
+        self.fence: Fence | None = None
         self._beat_s: float | None = None
         self._held_until_s = 0.0
 
@@ -126,7 +134,7 @@
     def configure(self, settings: api.Settings) -> None:
         """New settings, for every request that comes from now on."""
         self._settings = settings
-        self.tell(api.Configured(settings))
+        self.tell(api.Configured(settings, False))
 
     def give(self) -> dict[int, float]:
         """Hand the limits over to another process of this broker; by volume, the units that go with them."""
@@ -152,6 +160,10 @@
             self._due = True
             self._loop.call_soon(self._decide)
 
+    def look(self) -> None:
+        """Ask the fence anew at the end of this turn of the loop."""
+        self.tell(api.Woke())
+
     def mind_stops(self) -> None:
         """Look from now on whether this process was stopped (SIGSTOP, a machine that had no time for it). One
         that goes on believes what it knew before, while drains and slices that it has not read yet hold."""
@@ -174,6 +186,9 @@
                 self._loop.call_at(self._held_until_s, self._decide)
                 return
         events, self._events, self._due = self._events, [], False
+        if self.fence is not None and (settings := self.fence.before(self.clock.now_us())) is not None:
+            self._settings = settings
+            events.insert(0, api.Configured(settings, True))
         try:
             actions = self._scheduler.handle(self.clock.now_us(), events)
         except Exception:
--- a/lemonridge/fleet/companion.py
+++ b/lemonridge/fleet/companion.py
@@ -18,6 +18,8 @@
     Fleet,
     Judged,
     Leaving,
+    Passed,
+    Post,
     Received,
     Served,
     Sliced,
@@ -27,7 +29,7 @@
     Woke,
 )
 from lemonridge.fleet.roster import Roster, key_of
-from lemonridge.fleet.wire import Tagger
+from lemonridge.fleet.wire import Item, Tagger
 
 NODES_MAX = 65536  # names that are kept for what comes by key
 MICRO = 1e12  # micro-units a second in a unit a microsecond
@@ -51,6 +53,7 @@
         self.fleet = Fleet(roster, life, seed, now_us, tuning, tagger)
         self.events: list[api.Event] = []
         self.tells: list[Tell] = []
+        self.passed: list[Passed] = []  # for the machine that changes policies
         self.wake_us = now_us
         self.nodes: dict[int, str] = {}  # names by key
         self._handle(now_us)
@@ -63,6 +66,8 @@
                 self.tells.append(action)
             elif isinstance(action, Judged):
                 self._judged(action.verdict)
+            elif isinstance(action, Passed):
+                self.passed.append(action)
             elif isinstance(action, Served):
                 self.events.append(api.Served(action.volume, action.units))
             elif isinstance(action, Wake):
@@ -77,6 +82,10 @@
     def woke(self, now_us: int) -> None:
         self._handle(now_us, Woke())
 
+    def post(self, items: Iterable[tuple[int, Item]], now_us: int) -> None:
+        """Send what the machine that changes policies has to say."""
+        self._handle(now_us, Post(tuple(items)))
+
     def leave(self, now_us: int) -> None:
         """This broker is about to end."""
         self._handle(now_us, Leaving())
--- /dev/null
+++ b/lemonridge/governance.py
@@ -0,0 +1,270 @@
+"""The policy of the fleet at one broker: hosts the machine that changes it, keeps its votes on disk, and
+fences the decisions with it.
+
+Loaded only where an operator's file sets `[fleet.policy]`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import secrets
+import struct
+from pathlib import Path
+
+import crc32c
+import msgspec
+import orjson
+
+from lemonridge import api
+from lemonridge.config import ConfigError, Platform
+from lemonridge.core.clock import Clock
+from lemonridge.core.decider import Decider
+from lemonridge.counters import Counters
+from lemonridge.fleet.wire import Item
+from lemonridge.net.peers import Peers
+from lemonridge.operate.calls import Call, Order, Reply
+from lemonridge.rollout import document
+from lemonridge.rollout.document import Policy, PolicyError
+from lemonridge.rollout.leases import NOTHING, Interval
+from lemonridge.rollout.machine import VOTERS_MAX, Keep, Kept, Rollout, Say
+
+log = logging.getLogger(__name__)
+
+MAGIC = b"lemonridge votes 1\n"
+_FRAME = struct.Struct("<II")  # CRC32C of what follows, and its length
+STORE_MAX = 1 << 20
+
+
+class StoreError(Exception):
+    """A store that cannot be believed; the text is fit to print."""
+
+
+class Store:
+    """The votes of one broker: one small file, written anew beside itself, brought to disk and put in its
+    place (POSIX rename), so that at any moment the whole of one version is there. A damaged file is worth
+    what no file is: its broker has forgotten, and must not vote as if it remembered."""
+
+    def __init__(self, path: str) -> None:
+        self.path = Path(path)
+
+    def read(self) -> bytes | None:
+        """What was written last; None where there is no file. StoreError where it is damaged."""
+        try:
+            told = self.path.read_bytes()
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            raise StoreError(f"cannot read {self.path}: {error.strerror}") from None
+        body = told[len(MAGIC) + _FRAME.size :]
+        if not told.startswith(MAGIC) or len(told) < len(MAGIC) + _FRAME.size:
+            raise StoreError(f"{self.path} is no store of votes")
+        if _FRAME.unpack_from(told, len(MAGIC)) != (crc32c.crc32c(body), len(body)):
+            raise StoreError(f"{self.path} is damaged")
+        return body
+
+    def write(self, data: bytes) -> None:
+        """On disk once this returns. OSError where it cannot be."""
+        part = self.path.with_name(self.path.name + ".part")
+        with open(part, "wb") as file:
+            file.write(MAGIC + _FRAME.pack(crc32c.crc32c(data), len(data)) + data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(part, self.path)
+        folder = os.open(self.path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def begin(self) -> None:
+        """Make the first one of a new fleet: it may vote at once. Once in the life of a broker: one that lost
+        its store starts without, and is let in again by the others."""
+        if self.path.exists():
+            raise StoreError(f"{self.path} is there already")
+        self.write(msgspec.msgpack.encode(Kept(0, b"")))
+
+
+class Governor:
+    """This broker's policy."""
+
+    def __init__(self, platform: Platform, peers: Peers, decider: Decider, clock: Clock,
+                 counters: Counters) -> None:
+        plan = platform.fleet
+        assert plan is not None and plan.rollout is not None
+        self._platform, self._peers, self._decider = platform, peers, decider
+        self._clock, self._counters = clock, counters
+        self._loop = asyncio.get_running_loop()
+        self._store = Store(plan.rollout.store)
+        try:
+            kept = self._store.read()
+        except StoreError as error:
+            kept = None
+            log.error("votes are lost", extra={"error": str(error)})
+        if kept is None:
+            log.warning("no store of votes: this broker votes once the others let it in",
+                        extra={"path": plan.rollout.store})
+        own = document.policy_from(platform.settings, platform.plans, platform.classes)
+        least = document.floor(own, plan.rollout.floor)
+        voters = dict.fromkeys(plan.names[:VOTERS_MAX], 0)
+        genesis = document.State(epoch=0, prior="", voters=voters, policy=own, floor=least)
+        ident = 1 + secrets.randbelow(1 << 62)
+        try:
+            self.rollout = Rollout(plan.me, plan.names, peers.life, genesis, kept, ident, self._judge,
+                                   platform.seed, clock.now_us(), plan.rollout.span_us, plan.error_us)
+        except (PolicyError, msgspec.DecodeError) as error:
+            raise ConfigError(f"{plan.rollout.store} cannot be used: {error}") from None
+        self._mode: tuple[Interval, int] | None = None  # by which the decisions go, and of which epoch
+        self._changed_s = 0.0  # when that changed
+        self._had = False  # a lease, since this start
+        self._shown = 0
+        self._unkept: bytes | None = None  # what could not be brought to disk
+        self._timer: asyncio.TimerHandle | None = None
+        peers.governor = decider.fence = self
+        self._flush()
+        self._tick()
+
+    # The machine
+
+    def heard(self, who: int, life: int, item: Item) -> None:
+        """A member said something of policies."""
+        self.rollout.heard(who, life, item, self._clock.now_us())
+        self._flush()
+
+    def _tick(self) -> None:
+        now_us = self._clock.now_us()
+        self.rollout.tick(now_us)
+        self._flush()
+        self._timer = self._loop.call_at(self._clock.loop_time(self.rollout.wake_us(now_us)), self._tick)
+
+    def _flush(self) -> None:
+        """Do what the machine wants, in its order: a vote is on disk before its answer leaves."""
+        out, self.rollout.out = self.rollout.out, []
+        if self._unkept is not None:
+            self._keep(self._unkept)
+        said: list[tuple[int, Item]] = []
+        for action in out:
+            if isinstance(action, Keep):
+                self._post(said)
+                said = []
+                self._keep(action.data)
+            elif isinstance(action, Say):
+                said.append((action.to, action.item))
+        self._post(said)
+        if self._mode != self._now():
+            self._decider.look()
+        fresh = self.rollout.ended - self._shown
+        for result in self.rollout.results[-fresh:] if fresh else ():
+            log.info("change ended", extra={"end": result.end, "why": result.why, "epoch": result.epoch})
+        self._shown = self.rollout.ended
+
+    def _post(self, said: list[tuple[int, Item]]) -> None:
+        """What cannot be kept must not be said: this broker is silent until its disk takes the vote, as if
+        its links were cut."""
+        if said and self._unkept is None:
+            self._peers.post(said)
+
+    def _keep(self, data: bytes) -> None:
+        try:
+            self._store.write(data)
+        except OSError as error:
+            if self._unkept is None:
+                log.error("votes cannot be kept, nothing is said", extra={"error": str(error)})
+            self._unkept = data
+            return
+        self._unkept = None
+        self._counters["policy.kept"] += 1
+
+    def stop(self) -> None:
+        """The program ends."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._counters["policy.epoch"] = self.rollout.state.epoch
+        for name, value in self.rollout.counts.items():
+            self._counters[f"policy.{name}"] = value
+
+    # The decisions
+
+    def _judge(self, policy: Policy) -> str:
+        try:
+            self._apply(policy)
+        except PolicyError as error:
+            return str(error)
+        return ""
+
+    def _apply(self, policy: Policy) -> api.Settings:
+        one = self._platform
+        return document.apply(policy, one.settings, one.plans, one.classes)
+
+    def _now(self) -> tuple[Interval, int]:
+        return self.rollout.mode(self._clock.now_us()), self.rollout.state.epoch
+
+    def before(self, now_us: int) -> api.Settings | None:
+        """See `Fence`: asked before each decision, so a lease that has ended is not decided by, whatever
+        timer did not come."""
+        now = self._now()
+        if now == self._mode:
+            return None
+        self._mode, self._changed_s = now, self._loop.time()
+        mode = now[0]
+        self._had = self._had or mode != NOTHING
+        self._counters["policy.floors" if mode == NOTHING else "policy.modes"] += 1
+        log.info("goes by", extra={"epochs": "floor" if mode == NOTHING else f"{mode[0]}-{mode[1]}",
+                                   "newest": now[1], "fault": self.rollout.fault})  # fmt: skip
+        return self._settings()
+
+    def _settings(self) -> api.Settings:
+        return self._apply(self.rollout.policy((self._mode or self._now())[0]))
+
+    def epoch(self, decided_s: float) -> str | None:
+        """By which epochs an attempt begins that was decided at a time; None where it may not any more."""
+        if decided_s < self._changed_s or self._mode is None or self._mode != self._now():
+            return None
+        low, high = self._mode[0]
+        return "floor" if self._mode[0] == NOTHING else str(low) if low == high else f"{low}-{high}"
+
+    def sure(self) -> bool:
+        """Whether this broker knows by what to decide: it has had a lease since its start."""
+        return self._had and not self.rollout.fault
+
+    def configure(self, platform: Platform) -> api.Settings:
+        """A new configuration: what of it is policy is proposed, the rest counts from now on."""
+        old, self._platform = self._platform, platform
+        own = document.policy_from(platform.settings, platform.plans, platform.classes)
+        if own != document.policy_from(old.settings, old.plans, old.classes):
+            why = self.rollout.propose(own, "SIGHUP", self._clock.now_us())
+            log.info("policy of the file", extra={"proposed": not why, "why": why})
+            self._flush()
+        try:
+            return self._settings()
+        except PolicyError as error:  # the machine's own part does not fit what is in force
+            self.rollout.fault = str(error)
+            return platform.settings
+
+    # Operators
+
+    def act(self, order: Order) -> Reply:
+        """A call about policies."""
+        now_us = self._clock.now_us()
+        if order.call is Call.POLICY:
+            told = self.rollout.report(now_us)
+            told["policy"] = msgspec.to_builtins(self.rollout.state.policy)
+            told["floor"] = msgspec.to_builtins(self.rollout.state.floor)
+            return Reply(True, orjson.dumps(told).decode())
+        if order.call is Call.ABORT:
+            done = self.rollout.abort()
+            self._flush()
+            return Reply(done, "called off" if done else "no change of this broker's can be called off now")
+        try:
+            told = orjson.loads(order.text)
+            policy, note = document.policy_of(told["policy"]), str(told.get("note", ""))
+        except (orjson.JSONDecodeError, PolicyError, KeyError, TypeError) as error:
+            return Reply(False, f"not a proposal: {error}")
+        if told.get("dry"):
+            why = self.rollout.wrong(policy)
+            return Reply(not why, why or "; ".join(document.difference(self.rollout.state.policy, policy))
+                         or "nothing differs")
+        why = self.rollout.propose(policy, note, now_us)
+        self._flush()
+        return Reply(not why, why or f"epoch {self.rollout.state.epoch + 1} is proposed")
--- a/lemonridge/iscsi/config.py
+++ b/lemonridge/iscsi/config.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from lemonridge import api
-from lemonridge.config import Address, ConfigError, FleetPlan
+from lemonridge.config import Address, ConfigError, FleetPlan, RolloutPlan
 from lemonridge.core.directory import Listing
 from lemonridge.extents.map import Extent, ExtentMap, MapError
 from lemonridge.extents.routing import Limits
@@ -31,6 +31,7 @@
     NodeTable,
     OperatorFile,
     PlanTable,
+    PolicyTable,
     SecretsFile,
     read,
 )  # fmt: skip
@@ -155,7 +156,12 @@
                      tuple(Address.parse(row.address, f"fleet.member[{number}].address")
                            for number, row in enumerate(table.member)),
                      table.bytes_per_s, int(table.clock_error_ms * 1000), secret, table.further_attempts,
-                     Address.parse(table.admin, "fleet.admin") if table.admin else None)
+                     Address.parse(table.admin, "fleet.admin") if table.admin else None,
+                     _rollout(table.policy))
+
+
+def _rollout(table: PolicyTable | None) -> RolloutPlan | None:
+    return None if table is None else RolloutPlan(table.store, int(table.lease_ms * 1000), table.floor)
 
 
 def parse(values: Mapping[str, Any]) -> Iscsi:
--- a/lemonridge/iscsi/schema.py
+++ b/lemonridge/iscsi/schema.py
@@ -188,6 +188,14 @@
     address: AddressText
 
 
+class PolicyTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """[fleet.policy]: all brokers decide by one policy, which they change together."""
+
+    store: Annotated[str, Meta(min_length=1)]  # a file of this broker's own, made by `policy init`
+    lease_ms: Annotated[float, Meta(ge=300, le=60_000)] = 2000
+    floor: Annotated[float, Meta(gt=0, le=1)] = 0.25  # of the file's limits, for a broker without a lease
+
+
 class FleetTable(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """[fleet]: this broker among the others, by UDP."""
 
@@ -199,6 +207,7 @@
     bytes_per_s: Annotated[float, Meta(ge=1024, lt=1e9)] = 8192
     further_attempts: Figure = 0  # a second, of all brokers; 0: each class's own rules alone
     admin: AddressText | None = None  # where operators call, if the platform names nowhere
+    policy: PolicyTable | None = None
 
 
 class FleetFile(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/lemonridge/lab/rig.py
+++ b/lemonridge/lab/rig.py
@@ -13,11 +13,12 @@
 import socket
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from lemonridge.governance import Store
 from lemonridge.lab.links.datagrams import Network, Stretch, free_port
 from lemonridge.lab.links.schedule import LINKS, Fault, Schedule
 from lemonridge.lab.load.http import ready
@@ -48,6 +49,9 @@
     cores: int = 2
     further: float = 0.0  # further attempts a second, of all brokers; their peers stand in a file then
     more: str = ""  # of that file's table
+    lease_ms: float = 0.0  # of one policy for all brokers; 0: each goes by its own file
+    floor: float = 0.25
+    short: int = -1  # a broker whose requests have less time, so that it must reject some policies
 
     def facts(self, brokers: int, nodes: int, me: int) -> dict[str, Any]:
         """The settings as PROTOCOL's configuration holds them."""
@@ -161,7 +165,7 @@
             for node in self.nodes:
                 await register.set(node.row(number))
             more: tuple[str, ...] = ("--peers",) if self.peers else ()
-            if self.peers and self.site.further:
+            if self.peers and (self.site.further or self.site.lease_ms):
                 more = ("--config", str(self.fleet_file(number)))
             broker = Broker(number, free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM),
                             self.folder / f"b{number}.json", register, more,
@@ -177,14 +181,29 @@
         number = broker.number
         return {"name": f"b{number}", "listen": f"127.0.0.1:{broker.port}",
                 "discovery": f"127.0.0.1:{broker.discovery.port}", "seed": f"{self.seed * 97 + number:016x}",
-                "known": {}, "settings": self.site.facts(self.network.count, len(self.nodes), number),
+                "known": {}, "settings": self.facts(number),
                 "limits": {"sockets": 1024}, "admin_addr": f"127.0.0.1:{broker.admin}",
                 "peer_listen": self.network.listen(number), "peers": self.network.told(number)}  # fmt: skip
 
+    def facts(self, number: int) -> dict[str, Any]:
+        """The settings of a broker."""
+        site = self.site
+        if number == site.short:
+            site = replace(site, deadline_ms=site.deadline_ms - 100)
+        return site.facts(self.network.count, len(self.nodes), number)
+
+    def store(self, number: int) -> Path:
+        """Where a broker keeps its votes."""
+        return self.folder / f"votes{number}"
+
     def fleet_file(self, number: int) -> Path:
         """What operators would write for a broker: its peers, and the budget of further attempts."""
         members = "".join(f'[[fleet.member]]\nname = "b{n}"\naddress = "{at}"\n'
                           for n, at in enumerate(self.network.told(number)))  # fmt: skip
+        if self.site.lease_ms:
+            Store(str(self.store(number))).begin()
+            members = (f'[fleet.policy]\nstore = "{self.store(number)}"\nlease_ms = {self.site.lease_ms}\n'
+                       f"floor = {self.site.floor}\n{members}")
         path = self.folder / f"fleet{number}.toml"
         path.write_text(f'[fleet]\nlisten = "{self.network.listen(number)}"\n'
                         f"further_attempts = {self.site.further}\n{self.site.more}\n{members}")
--- a/lemonridge/lab/standins/cold.py
+++ b/lemonridge/lab/standins/cold.py
@@ -27,6 +27,7 @@
     ident: str
     volume: int
     units: float
+    epoch: str = ""  # of the policy that it was sent by, where brokers say so
 
 
 @dataclass
@@ -105,7 +106,8 @@
                 told = {name.lower(): value for name, _, value in
                         (line.partition(": ") for line in head[1:-2])}  # fmt: skip
                 await reader.readexactly(int(told.get("content-length", 0)))
-                answer = await self._run(broker, head[0].split()[1], told.get("x-request-id", ""))
+                answer = await self._run(broker, head[0].split()[1], told.get("x-request-id", ""),
+                                         told.get("x-policy-epoch", ""))  # fmt: skip
                 writer.write(answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, IndexError):
@@ -114,14 +116,15 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _run(self, broker: int, target: str, ident: str) -> bytes:
+    async def _run(self, broker: int, target: str, ident: str, epoch: str) -> bytes:
         if not ident:
             return _answer(404)
         parts = urlsplit(target)
         query = parse_qs(parts.query)
         units, shard = float(query["units"][0]), int(query["shard"][0])
         now = time.monotonic()
-        self.came.append(Came(now, self.name, broker, ident, int(parts.path.split("/")[2], 16), units))
+        self.came.append(Came(now, self.name, broker, ident, int(parts.path.split("/")[2], 16), units,
+                              epoch))
         if self.warmth() < 1.0:
             self.cold_units += units
             self._recent.append((now, units))
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -6,6 +6,7 @@
 import logging
 import re
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -55,6 +56,8 @@
                                   access_log=None, auto_decompress=False, tcp_keepalive=False,
                                   logger=log)  # fmt: skip
 
+    sure: Callable[[], bool] = staticmethod(lambda: True)  # whether it is known by which policy to decide
+
     def configure(self, platform: Platform) -> None:
         """Go by this configuration from here on."""
         self._platform = platform
@@ -182,7 +185,7 @@
     def _ready(self, http: web.BaseRequest) -> web.Response:
         if http.method != "GET" or http.path != "/-/ready":
             return web.Response(status=404)
-        up = self._directory.listed and self._life.ready
+        up = self._directory.listed and self._life.ready and self.sure()
         return web.Response(status=200 if up else 503)
 
     def _parse(self, http: web.BaseRequest, body: bytes, arrived_us: int) -> Request:
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -120,6 +121,7 @@
                  counters: Counters) -> None:
         self._directory, self._clock = directory, clock
         self._loop = asyncio.get_running_loop()
+        self.epoch: Callable[[float], str | None] | None = None  # of what was decided then; None: it is over
         self.minds_stops = False  # what was decided before a stop is not sent after it: its slices are over
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._before_first_byte)
@@ -140,6 +142,11 @@
             raise WithheldError
         left_ms = (attempt.request.deadline_us - self._clock.now_us()) // 1000
         headers = {**payload.headers, "X-Deadline-Ms": str(max(1, left_ms))}
+        if self.epoch is not None:
+            epoch = self.epoch(attempt.decided_s)
+            if epoch is None:
+                raise WithheldError
+            headers["X-Policy-Epoch"] = epoch
         try:
             response = await self._session.request(
                 payload.method, URL(f"http://{address}{payload.target}", encoded=True), headers=headers,
@@ -176,6 +183,8 @@
             raise WithheldError
         if self.minds_stops and self._loop.time() > attempt.decided_s + self._connector.connect_s + LATE_S:
             raise WithheldError
+        if self.epoch is not None and self.epoch(attempt.decided_s) is None:
+            raise WithheldError
         attempt.reached = True
 
     async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
--- a/lemonridge/net/operators.py
+++ b/lemonridge/net/operators.py
@@ -9,7 +9,7 @@
 
 from lemonridge.config import Address
 from lemonridge.counters import Counters
-from lemonridge.operate.calls import LINE_MAX, BadCallError, Order, Reply, parse
+from lemonridge.operate.calls import BadCallError, Order, Reply, longest, parse
 
 log = logging.getLogger(__name__)
 
@@ -41,7 +41,7 @@
             return  # one line a connection: whatever follows it is not read
         self._data += data
         line, end, _ = self._data.partition(b"\n")
-        if end or len(line) > LINE_MAX:
+        if end or len(line) > longest(bytes(line[:64])):
             self.transport.pause_reading()
             self._task = asyncio.create_task(self._answer(bytes(line)))
 
--- a/lemonridge/net/peers.py
+++ b/lemonridge/net/peers.py
@@ -12,7 +12,7 @@
 import socket
 import time
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from lemonridge import api
 from lemonridge.config import FleetPlan
@@ -23,7 +23,7 @@
 from lemonridge.fleet.companion import Companion
 from lemonridge.fleet.report import report
 from lemonridge.fleet.roster import Roster
-from lemonridge.fleet.wire import Tagger
+from lemonridge.fleet.wire import Item, Tagger
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +47,12 @@
         return self._same(self.tag(data), tag)
 
 
+class Passes(Protocol):
+    """Whom what is said of policies is passed on to."""
+
+    def heard(self, who: int, life: int, item: Item) -> None: ...
+
+
 class Peers(asyncio.DatagramProtocol):
     """This broker among its peers."""
 
@@ -61,6 +67,7 @@
         # Wall time, which goes on over restarts: a later start of a name has a higher one.
         self._companion = Companion(Roster(plan.names, plan.me), time.time_ns() // 1_000_000, seed,
                                     clock.now_us(), settings, plan.bytes_s, plan.error_us, tagger)
+        self.governor: Passes | None = None
         self._flush()
         decider.onlooker = self
 
@@ -115,6 +122,20 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_at(self._clock.loop_time(companion.wake_us), self._woke)
+        passed, companion.passed = companion.passed, []
+        if self.governor is not None:
+            for told in passed:
+                self.governor.heard(told.source, told.life, told.item)
+
+    def post(self, items: Iterable[tuple[int, Item]]) -> None:
+        """Send what the machine that changes policies has to say."""
+        self._companion.post(items, self._clock.now_us())
+        self._flush()
+
+    @property
+    def life(self) -> int:
+        """This start's number: a later start has a higher one."""
+        return self._companion.fleet.members.life
 
     def _woke(self) -> None:
         self._companion.woke(self._clock.now_us())
--- a/lemonridge/operate/calls.py
+++ b/lemonridge/operate/calls.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 LINE_MAX = 512  # bytes of a line, its end included; a longer one is refused unread
+LONG_MAX = 32_768  # of one that carries a policy
 _IDENT = re.compile(r"[\x21-\x7e]{1,200}")
 
 
@@ -19,6 +20,9 @@
     DRAIN = "drain"
     RESUME = "resume"
     FLEET = "fleet"
+    POLICY = "policy"
+    PROPOSE = "policy-propose"
+    ABORT = "policy-abort"
 
 
 NAMING = frozenset((Call.DISABLE, Call.ENABLE))  # these name a node
@@ -30,6 +34,7 @@
 
     call: Call
     node: str = ""
+    text: str = ""  # of a proposal: JSON with the policy and a note
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,14 +50,22 @@
         return f"{word} {self.why}".rstrip().encode("ascii", "replace") + b"\n"
 
 
+def longest(line: bytes) -> int:
+    """How long a line that begins so may be."""
+    return LONG_MAX if line.startswith(Call.PROPOSE.value.encode() + b" ") else LINE_MAX
+
+
 class BadCallError(Exception):
     """A line that is no call; the text is fit to answer with."""
 
 
 def parse(line: bytes) -> Order:
     """The call of a line, with or without its end (LF or CRLF); `BadCallError` says what is wrong."""
-    if len(line) > LINE_MAX:
+    if len(line) > longest(line):
         raise BadCallError("the line is too long")
+    word, _, rest = line.partition(b" ")
+    if word == Call.PROPOSE.value.encode():
+        return Order(Call.PROPOSE, text=rest.decode("utf-8", "replace").strip())
     try:
         words = line.decode("ascii").split()
     except UnicodeDecodeError:
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -15,7 +15,7 @@
 
 from lemonridge.api import (
     Action, Arrived, Cancel, ClassInfo, Condition, Configured, Ended, Entry, Event, Fail, Gone, Group, Listed,
-    Budget, Chilled, Judged, ListKind, Moved, Plan, Refuse, Result, Semantics, Send, Served, Settings, Sliced,
+    Budget, Chilled, Judged, ListKind, Moved, Refuse, Result, Semantics, Send, Served, Settings, Sliced,
     Started, Subscribe, Wake, Why,
 )  # fmt: skip
 from lemonridge.stores import Ration, Recent, Regular, Share, Store, Timers, Usual
@@ -84,17 +84,17 @@
     """A volume's queue: its lanes, its balance and its slice of a limit."""
 
     def __init__(self, born_us: int, flow: float, now: int, settings: Settings) -> None:
-        self.plan, self.hosts, self.settings = settings.plans[0], 0, settings
+        self.place, self.plan, self.hosts, self.settings = 0, settings.plans[0], 0, settings
         self.lanes: dict[int, Lane] = {}
         self.waiting = 0
         self.balance, self.credited_us, self.told_us = 0.0, now, 0
         self.store, self.undrawn = Store(born_us, flow), 0.0  # from the host's start, not the first request
         self.seen_us, self.regular = now, Regular(settings.units_top, now)
 
-    def go_by(self, plan: Plan, hosts: int, settings: Settings, now: int) -> None:
-        """Its plan and how many hosts it works through, from now on; what it has saved up stays."""
+    def go_by(self, place: int, hosts: int, settings: Settings, now: int) -> None:
+        plan = settings.plans[place]
         self.store.size(now, plan.limit, plan.burst + plan.slack, hosts, hosts != self.hosts)
-        self.plan, self.hosts, self.settings = plan, hosts, settings
+        self.place, self.plan, self.hosts, self.settings = place, plan, hosts, settings
 
 
 class Node:
@@ -177,7 +177,7 @@
             elif isinstance(event, Moved):
                 self._moved(event)
             elif isinstance(event, Configured):
-                self._configured(event.settings)
+                self._configured(event.settings, event.same)
             elif isinstance(event, Sliced):
                 self._sliced(event)
             elif isinstance(event, Judged):
@@ -212,10 +212,12 @@
             v.store.level += self.levels.pop(name, 0.0)
             v.store.filled_us, v.store.flow = now_us, self.flow
 
-    def _configured(self, settings: Settings) -> None:
-        """Go by new settings. What is held keeps the class it came with; a volume takes its new plan with
-        its next request, which alone tells it."""
+    def _configured(self, settings: Settings, same: bool = False) -> None:
+        """Go by new settings. What is held keeps its class; a volume takes its new plan at once where the
+        plans stand as they stood, else with its next request."""
         self.settings, before = settings, self.settings.hosts
+        for volume in self.volumes.values() if same else ():
+            volume.go_by(volume.place, volume.hosts, settings, self.now)
         # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
         self.tightest = min(cls.aim_us for cls in settings.classes)
         self.longest = [0] * len(settings.classes)  # longest wait seen granted, by class
@@ -241,9 +243,8 @@
             self.further.tell(since, *part)
 
     def _judged(self, event: Judged) -> None:
-        """What others have seen of a node. Its own later answer goes before, and so does a later start; one
-        voice makes careful; where several agree the next request is a try, at once: words alone never close
-        what this host may reach."""
+        """What others saw of a node; its own later answer or start goes before. One voice makes careful;
+        where several agree the next request is a try, at once: words alone never close a node."""
         node = self.nodes.get(event.node)
         if node is None or node.unreached or event.at_us <= max(node.heard_us, (node.born_us or 0) + DOWN_US):
             return
@@ -260,7 +261,7 @@
             volume = self.volumes[event.volume] = Volume(self.born or 0, self.flow, self.now, s)
             volume.store.level = self.levels.pop(event.volume, 0.0)
         if volume.settings is not s or max(1, event.hosts) > volume.hosts:
-            volume.go_by(s.plans[event.plan], max(1, volume.hosts, event.hosts), s, self.now)
+            volume.go_by(event.plan, max(1, volume.hosts, event.hosts), s, self.now)
             if told := self.slices.get(event.volume):
                 volume.store.tell(told.since_us, told.part, told.until_us, told.after)
         volume.seen_us = self.now
@@ -271,8 +272,7 @@
         r = Request(event, cls, volume, event.deadline_us - longest + cls.aim_us)
         self.requests[r.id] = r
         self._timer(r.deadline, "deadline", r)
-        # Over the limit: nothing that is asked beyond it can be sent in time, so the client hears
-        # at once. It also keeps a surge from filling the lanes with requests that only wait to die.
+        # Over the limit, so the client hears at once: else a surge fills the lanes with what waits to die.
         wait = volume.store.wait_us(volume.undrawn + r.units, self.now) if volume.plan.limit else 0
         if wait > max(0, r.due - self.now):
             self._give_up(r, Why.LIMIT)
--- a/lemonridge/rollout/document.py
+++ b/lemonridge/rollout/document.py
@@ -77,6 +77,7 @@
     prior: str
     voters: dict[str, int]
     policy: Policy
+    floor: Policy  # what a broker without a lease goes by: every policy contains it
     by: str = ""
     note: Annotated[str, Meta(max_length=NOTE_MAX)] = ""
     kind: Literal["policy", "voter"] = "policy"
@@ -129,7 +130,7 @@
     """The state after a change of policy."""
     line = f"{before.epoch + 1} {by}: {note}"[: NOTE_MAX + 60]
     return State(epoch=before.epoch + 1, prior=name(encode(before)).hex(), voters=before.voters,
-                 policy=policy, by=by, note=note[:NOTE_MAX],
+                 policy=policy, floor=before.floor, by=by, note=note[:NOTE_MAX],
                  history=(*before.history, line)[-HISTORY_MAX:])  # fmt: skip
 
 
--- a/lemonridge/rollout/machine.py
+++ b/lemonridge/rollout/machine.py
@@ -47,6 +47,7 @@
 BACK_OFF_US = 150_000  # of a proposer that was outbid, at the mean
 PIECE, PIECES = 176, 8  # bytes of a piece; how many are asked for at a time
 STATES_MAX = 8  # states kept by name
+RESULTS = 8  # ends of changes that are remembered
 VOTERS_MAX = 5  # the first members of the roster: more make no change safer against two that die
 
 
@@ -69,7 +70,8 @@
 
 
 class Kept(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What is on disk: the identity of the store, the newest state, and the vote in the slot after it."""
+    """What is on disk: the identity of the store, the newest state (empty: what the files say), and the vote
+    in the slot after it."""
 
     ident: int
     state: bytes
@@ -132,7 +134,7 @@
         self.fault = ""  # why this broker may not go by the policy that is in force
         told = msgspec.msgpack.decode(kept, type=Kept) if kept is not None else None
         self.ident = told.ident if told is not None else ident
-        self.state = document.decode(told.state) if told is not None else genesis
+        self.state = document.decode(told.state) if told is not None and told.state else genesis
         self.name = self._store(document.encode(self.state))
         self.before: State | None = None  # the one before, while its lease may be in use
         self.voter = Voter(self.ident, self.state.epoch + 1)
@@ -144,7 +146,8 @@
         self.holder = Holder(span_us, self.voters, want=self.state.epoch)
         self.span_us = span_us
         self.change: Change | None = None
-        self.results: list[Result] = []
+        self.results: list[Result] = []  # the last ones
+        self.ended = 0  # how many there were
         self._fetches: dict[bytes, _Fetch] = {}
         self._asked_us = now_us - span_us
         self._took_us = now_us
@@ -161,13 +164,18 @@
         """The epochs that it decides by at this moment; NOTHING: by the floor alone."""
         return self.holder.uses if not self.fault and self.holder.valid(now_us) else NOTHING
 
-    def policy(self, mode: Interval) -> Policy | None:
-        """The policy of a mode; None is the floor."""
+    def policy(self, mode: Interval) -> Policy:
+        """What a mode decides by."""
         if mode == NOTHING or mode[1] != self.state.epoch:
-            return None
+            return self.state.floor
         if mode[0] == mode[1]:
             return self.state.policy
-        return document.stricter(self.before.policy, self.state.policy) if self.before is not None else None
+        before = self.before.policy if self.before is not None else self.state.floor
+        return document.stricter(before, self.state.policy)
+
+    def wrong(self, policy: Policy) -> str:
+        """Why this broker could not decide by a policy, or nothing."""
+        return document.contains(policy, self.state.floor) or self._judge(policy)
 
     @property
     def votes(self) -> bool:
@@ -184,7 +192,7 @@
             return "this broker holds no lease of the policy in force alone, so it may not know the newest"
         if policy == self.state.policy:
             return "nothing differs"
-        if why := self._judge(policy):
+        if why := self.wrong(policy):
             return why
         return self._begin(document.successor(self.state, policy, self.names[self.me], note), now_us)
 
@@ -209,7 +217,8 @@
     def _end(self, result: Result) -> None:
         if self.change is not None and self.change.mine:
             self.results.append(result)
-            del self.results[:-8]
+            self.ended += 1
+            del self.results[:-RESULTS]
         self.change = None
 
     def _advance(self, now_us: int) -> None:
@@ -478,7 +487,7 @@
             self._fetches[item.name].check = item
             return
         try:
-            why = self._judge(document.decode(data).policy)
+            why = self.wrong(document.decode(data).policy)
         except PolicyError as error:
             why = str(error)
         self.counts["refused"] += bool(why)
@@ -544,7 +553,7 @@
                       for who, (epoch, at_us) in sorted(self._told.items())},
             "leases_out": {self.names[who]: [[*one.interval, (one.end_us - now_us) // 1000] for one in grants]
                            for who, grants in sorted(self.lessor.out(now_us).items())},
-            "results": [[one.end, one.why, one.epoch] for one in self.results],
+            "results_ended": self.ended, "results": [[one.end, one.why, one.epoch] for one in self.results],
             "history": list(self.state.history), "counts": self.counts,
         }  # fmt: skip
 
--- a/lemonridge/service.py
+++ b/lemonridge/service.py
@@ -13,6 +13,7 @@
 from lemonridge.core.decider import Decider
 from lemonridge.core.directory import Directory
 from lemonridge.counters import Counters
+from lemonridge.operate.calls import Order, Reply
 
 if TYPE_CHECKING:
     from lemonridge.net.peers import Peers
@@ -31,6 +32,14 @@
     def busy(self) -> bool: ...
 
 
+class Governing(Protocol):
+    """The policy of the fleet at this broker; see `governance.py`."""
+
+    def configure(self, platform: Platform) -> api.Settings: ...
+
+    def act(self, order: Order) -> Reply: ...
+
+
 class Service:
     """One front with the core and the nodes' side behind it."""
 
@@ -44,6 +53,7 @@
         self.configure: Callable[[Platform], None] | None = None
         self.endings: list[Callable[[], None]] = []  # called last
         self.peers: Peers | None = None
+        self.governor: Governing | None = None
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     def speak(self, peers: Peers) -> None:
