Rehearse changes of policy on processes, and keep votes off the event loop

The vote was brought to disk in the event loop. Now in a thread, and all that is to be said waits behind it in order; a disk that takes nothing makes the broker silent, not its clients wait. Ruled out: the decisions (no failure logged), settings that cannot be applied (all pairs of the drill's policies tried). A fence that fails no longer loses the turn's events. A lane that waits for its old limit is looked at again when the limit changes.

--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -186,10 +186,10 @@
                 self._loop.call_at(self._held_until_s, self._decide)
                 return
         events, self._events, self._due = self._events, [], False
-        if self.fence is not None and (settings := self.fence.before(self.clock.now_us())) is not None:
-            self._settings = settings
-            events.insert(0, api.Configured(settings, True))
         try:
+            if self.fence is not None and (settings := self.fence.before(self.clock.now_us())) is not None:
+                self._settings = settings
+                events.insert(0, api.Configured(settings, True))
             actions = self._scheduler.handle(self.clock.now_us(), events)
         except Exception:
             self._start_over()
--- a/lemonridge/governance.py
+++ b/lemonridge/governance.py
@@ -11,6 +11,8 @@
 import os
 import secrets
 import struct
+from collections import deque
+from functools import partial
 from pathlib import Path
 
 import crc32c
@@ -28,13 +30,14 @@
 from lemonridge.rollout import document
 from lemonridge.rollout.document import Policy, PolicyError
 from lemonridge.rollout.leases import NOTHING, Interval
-from lemonridge.rollout.machine import VOTERS_MAX, Keep, Kept, Rollout, Say
+from lemonridge.rollout.machine import VOTERS_MAX, Action, Keep, Kept, Rollout, Say
 
 log = logging.getLogger(__name__)
 
 MAGIC = b"lemonridge votes 1\n"
 _FRAME = struct.Struct("<II")  # CRC32C of what follows, and its length
-STORE_MAX = 1 << 20
+QUEUE_MAX = 1024  # things to be said or kept that wait for the disk
+AGAIN_S = 0.1  # between two tries to keep a vote
 
 
 class StoreError(Exception):
@@ -119,7 +122,9 @@
         self._changed_s = 0.0  # when that changed
         self._had = False  # a lease, since this start
         self._shown = 0
-        self._unkept: bytes | None = None  # what could not be brought to disk
+        self._queue: deque[Action] = deque()  # in their order; behind a vote that is being kept all wait
+        self._keeping: asyncio.Future[None] | None = None
+        self._stuck = False  # the disk takes nothing
         self._timer: asyncio.TimerHandle | None = None
         peers.governor = decider.fence = self
         self._flush()
@@ -139,19 +144,16 @@
         self._timer = self._loop.call_at(self._clock.loop_time(self.rollout.wake_us(now_us)), self._tick)
 
     def _flush(self) -> None:
-        """Do what the machine wants, in its order: a vote is on disk before its answer leaves."""
+        """Do what the machine wants, in its order."""
         out, self.rollout.out = self.rollout.out, []
-        if self._unkept is not None:
-            self._keep(self._unkept)
-        said: list[tuple[int, Item]] = []
         for action in out:
-            if isinstance(action, Keep):
-                self._post(said)
-                said = []
-                self._keep(action.data)
-            elif isinstance(action, Say):
-                said.append((action.to, action.item))
-        self._post(said)
+            if isinstance(action, Keep) and self._queue and isinstance(self._queue[-1], Keep):
+                self._queue.pop()  # nothing was to be said between the two
+            self._queue.append(action)
+        while len(self._queue) > QUEUE_MAX:  # the disk is slow: what was to be said is lost, as on a link
+            lost = next((one for one in self._queue if isinstance(one, Say)), self._queue[0])
+            self._queue.remove(lost)
+        self._pump()
         if self._mode != self._now():
             self._decider.look()
         fresh = self.rollout.ended - self._shown
@@ -159,22 +161,38 @@
             log.info("change ended", extra={"end": result.end, "why": result.why, "epoch": result.epoch})
         self._shown = self.rollout.ended
 
-    def _post(self, said: list[tuple[int, Item]]) -> None:
-        """What cannot be kept must not be said: this broker is silent until its disk takes the vote, as if
-        its links were cut."""
-        if said and self._unkept is None:
+    def _pump(self) -> None:
+        """Say what may be said. A vote is on disk before anything that comes behind it is said: until its
+        disk takes it this broker is silent, as if its links were cut, and answers its clients on."""
+        said: list[tuple[int, Item]] = []
+        while self._queue and self._keeping is None:
+            action = self._queue.popleft()
+            if isinstance(action, Say):
+                said.append((action.to, action.item))
+                continue
+            if said:
+                self._peers.post(said)
+                said = []
+            # In a thread: a disk may take seconds, and no request waits for it.
+            self._keeping = self._loop.run_in_executor(None, self._store.write, action.data)
+            self._keeping.add_done_callback(partial(self._kept, action))
+        if said:
             self._peers.post(said)
 
-    def _keep(self, data: bytes) -> None:
-        try:
-            self._store.write(data)
-        except OSError as error:
-            if self._unkept is None:
-                log.error("votes cannot be kept, nothing is said", extra={"error": str(error)})
-            self._unkept = data
+    def _kept(self, action: Keep, done: asyncio.Future[None]) -> None:
+        self._keeping = None
+        error = None if done.cancelled() else done.exception()
+        if error is None:
+            self._stuck = False
+            self._counters["policy.kept"] += 1
+            self._pump()
             return
-        self._unkept = None
-        self._counters["policy.kept"] += 1
+        if not self._stuck:
+            log.error("votes cannot be kept, nothing is said", extra={"error": str(error)})
+        self._stuck = True
+        if not (self._queue and isinstance(self._queue[0], Keep)):
+            self._queue.appendleft(action)
+        self._loop.call_later(AGAIN_S, self._pump)
 
     def stop(self) -> None:
         """The program ends."""
--- a/lemonridge/lab/bent.py
+++ b/lemonridge/lab/bent.py
@@ -102,10 +102,35 @@
     decider.CATCH_UP_S = 0.0
 
 
+def _serves_on() -> None:
+    """Goes on by what it once had a lease for, whether it has ended or not."""
+    from lemonridge.rollout import leases
+
+    def valid(self: leases.Holder, now_us: int) -> bool:
+        return self.uses != leases.NOTHING
+
+    leases.Holder.valid = valid  # type: ignore[method-assign]
+
+
+def _switches_at_once() -> None:
+    """Goes by a new policy alone as soon as it is known, and says so to nobody."""
+    from lemonridge.rollout import leases
+
+    real = leases.Holder.learnt
+
+    def learnt(self: leases.Holder, epoch: int, now_us: int) -> None:
+        real(self, epoch, now_us)
+        self.uses = (epoch, epoch)
+
+    leases.Holder.learnt = learnt  # type: ignore[method-assign]
+    leases.Holder.valid = lambda self, now_us: self.uses != leases.NOTHING  # type: ignore[method-assign]
+
+
 FAULTS: dict[str, Callable[[], None]] = {
     "lends-unlowered": _lends_unlowered, "keeps-for-ever": _keeps_for_ever,
     "forgets-its-loans": _forgets_its_loans, "spends-further": _spends_further, "liar": _liar,
-    "believes-one": _believes_one, "decides-at-once": _decides_at_once}  # fmt: skip
+    "believes-one": _believes_one, "decides-at-once": _decides_at_once,
+    "serves-on": _serves_on, "switches-at-once": _switches_at_once}  # fmt: skip
 
 
 def main(arguments: list[str]) -> int:
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -25,6 +25,8 @@
         raise ConfigError("drill: --seconds must lie within an hour, --move-every-ms must not be negative")
     if options.name == "fleet":
         return _drill_fleet(options)
+    if options.name == "policy":
+        return _drill_policy(options)
     told = drill_extents.Options(options.seed, options.seconds, options.move_every_ms / 1000,
                                  faults=not options.calm, checked=options.mutation != "unchecked")
     try:
@@ -70,6 +72,24 @@
     return 0 if fleet.held(figures, found) else 1
 
 
+def _drill_policy(options: argparse.Namespace) -> int:
+    from lemonridge.lab.drills import policy
+
+    if not 3 <= options.brokers <= 16 or options.seconds < 12:
+        raise ConfigError("drill policy: --brokers from 3 to 16, --seconds from 12")
+    told = policy.Options(options.seed, options.seconds, options.brokers, not options.calm,
+                          options.mutation or "")  # fmt: skip
+    try:
+        figures, found, answers = asyncio.run(policy.run(told))
+    except ProgramError as error:
+        print(f"lemonridge: a broker failed: {error}", file=sys.stderr)
+        return 1
+    for note in (*found.notes, *answers.notes):
+        print(note)
+    print(orjson.dumps(figures).decode() if options.json else line(figures))
+    return 0 if policy.held(figures, found, answers) else 1
+
+
 def bench(options: argparse.Namespace) -> int:
     """Print the figures, a line each; 1 where the map misses its bounds, or CPU rose by more than a tenth."""
     if options.name == "decisions":
--- a/lemonridge/lab/rig.py
+++ b/lemonridge/lab/rig.py
@@ -278,9 +278,11 @@
                 made.cut = True
         self.network.stretches[pair] = made
 
-    async def restart(self, broker: Broker, away_s: float) -> None:
+    async def restart(self, broker: Broker, away_s: float, meanwhile: Callable[[], None] = lambda: None
+                      ) -> None:
         begun = asyncio.get_running_loop().time()
         await broker.kill()
+        meanwhile()
         await asyncio.sleep(away_s)
         await broker.start()
         await broker.ready()
--- a/lemonridge/lab/standins/cold.py
+++ b/lemonridge/lab/standins/cold.py
@@ -28,6 +28,7 @@
     volume: int
     units: float
     epoch: str = ""  # of the policy that it was sent by, where brokers say so
+    begun: float = 0.0  # when its head had come
 
 
 @dataclass
@@ -105,9 +106,10 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 told = {name.lower(): value for name, _, value in
                         (line.partition(": ") for line in head[1:-2])}  # fmt: skip
+                begun = time.monotonic()
                 await reader.readexactly(int(told.get("content-length", 0)))
                 answer = await self._run(broker, head[0].split()[1], told.get("x-request-id", ""),
-                                         told.get("x-policy-epoch", ""))  # fmt: skip
+                                         told.get("x-policy-epoch", ""), begun)  # fmt: skip
                 writer.write(answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, IndexError):
@@ -116,7 +118,8 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _run(self, broker: int, target: str, ident: str, epoch: str) -> bytes:
+    async def _run(self, broker: int, target: str, ident: str, epoch: str,
+                   begun: float) -> bytes:
         if not ident:
             return _answer(404)
         parts = urlsplit(target)
@@ -124,7 +127,7 @@
         units, shard = float(query["units"][0]), int(query["shard"][0])
         now = time.monotonic()
         self.came.append(Came(now, self.name, broker, ident, int(parts.path.split("/")[2], 16), units,
-                              epoch))
+                              epoch, begun))
         if self.warmth() < 1.0:
             self.cold_units += units
             self._recent.append((now, units))
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -213,11 +213,11 @@
             v.store.filled_us, v.store.flow = now_us, self.flow
 
     def _configured(self, settings: Settings, same: bool = False) -> None:
-        """Go by new settings. What is held keeps its class; a volume takes its new plan at once where the
-        plans stand as they stood, else with its next request."""
+        """Go by new settings. What is held keeps its class; a volume its plan until it asks, or `same`."""
         self.settings, before = settings, self.settings.hosts
         for volume in self.volumes.values() if same else ():
             volume.go_by(volume.place, volume.hosts, settings, self.now)
+            self._unpark(volume)
         # All classes wait in one queue at a node, so the tightest aim bounds it for every class.
         self.tightest = min(cls.aim_us for cls in settings.classes)
         self.longest = [0] * len(settings.classes)  # longest wait seen granted, by class
@@ -232,9 +232,7 @@
             self.slices[int(event.name)] = event
             if volume := self.volumes.get(int(event.name)):
                 volume.store.tell(since, *part)
-                for lane in volume.lanes.values():
-                    if lane.parked:
-                        self._ring(lane)
+                self._unpark(volume)
         elif event.budget is Budget.COLD and (node := self.nodes.get(str(event.name))):
             self._cold(node)
             node.lent.tell(*part)
@@ -265,8 +263,7 @@
             if told := self.slices.get(event.volume):
                 volume.store.tell(told.since_us, told.part, told.until_us, told.after)
         volume.seen_us = self.now
-        # A client's repeat shows in that less than the longest wait is left: its aim is as old as
-        # its first try, so it must not push back requests that can still be on time.
+        # A client's repeat shows in that less than the longest wait is left: its aim is its first try's.
         left = event.deadline_us - self.now
         self.longest[event.cls] = longest = min(cls.deadline_us, max(self.longest[event.cls], left))
         r = Request(event, cls, volume, event.deadline_us - longest + cls.aim_us)
@@ -300,6 +297,10 @@
         insort(lane.line, r, key=_due)
         self._ring(lane)
 
+    def _unpark(self, volume: Volume) -> None:
+        for lane in (lane for lane in volume.lanes.values() if lane.parked):
+            self._ring(lane)
+
     def _ring(self, lane: Lane) -> None:
         """Put a lane into its shard's rotation."""
         lane.parked = False
--- a/lemonridge/rollout/machine.py
+++ b/lemonridge/rollout/machine.py
@@ -540,7 +540,8 @@
         mode = self.mode(now_us)
         change = self.change
         return {
-            "name": self.names[self.me], "epoch": self.state.epoch, "state": self.name.hex(),
+            "name": self.names[self.me], "life": self.life,
+            "epoch": self.state.epoch, "state": self.name.hex(),
             "goes_by": "floor" if mode == NOTHING else list(mode), "fault": self.fault,
             "lease_ms": max(0, self.holder.until_us() - now_us) // 1000,
             "votes": self.votes, "voter": self.me in self.voters,
--- /dev/null
+++ b/tests/test_rollout_live.py
@@ -0,0 +1,260 @@
+"""Changes of policy on processes: each hard case, the store of votes, and the drill."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from contextlib import redirect_stdout
+from io import StringIO
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+
+from lemonridge import cli
+from lemonridge.config import Address
+from lemonridge.governance import Store, StoreError
+from lemonridge.lab.checkers.policy import Proposed, check
+from lemonridge.lab.drills import policy as drill
+from lemonridge.lab.load.fleet import Asker, Clients
+from lemonridge.lab.rig import Rig, Site, standing
+from lemonridge.net.calling import CallError, call
+from lemonridge.rollout.document import Policy
+
+SITE = Site(lease_ms=1000.0, short=2)
+Scene = Callable[[Rig], Awaitable[None]]
+
+
+async def seen(rig: Rig, number: int) -> dict[str, Any]:
+    told: dict[str, Any] = orjson.loads(await call(Address("127.0.0.1", rig.brokers[number].admin), "policy"))
+    return told
+
+
+async def propose(rig: Rig, number: int, limit: float = 48.0, aim_ms: float = 1000.0, note: str = "n") -> str:
+    policy = msgspec.convert((await seen(rig, number))["policy"], Policy)
+    rows = tuple(msgspec.structs.replace(row, limit=limit) if row.name == "basic" else row
+                 for row in policy.plan)  # fmt: skip
+    classes = tuple(msgspec.structs.replace(row, aim_ms=aim_ms) for row in policy.classes)
+    told = {"policy": msgspec.to_builtins(msgspec.structs.replace(policy, plan=rows, classes=classes)),
+            "note": note}  # fmt: skip
+    line = "policy-propose " + orjson.dumps(told).decode()
+    return await call(Address("127.0.0.1", rig.brokers[number].admin), line)
+
+
+async def until(true: Callable[[], Awaitable[bool]], most_s: float) -> float:
+    """Seconds until something is so."""
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    while not await true():
+        if loop.time() > begun + most_s:
+            raise AssertionError(f"not so in {most_s} s")
+        await asyncio.sleep(0.03)
+    return loop.time() - begun
+
+
+async def by(rig: Rig, number: int, epoch: int) -> bool:
+    return bool((await seen(rig, number))["goes_by"] == [epoch, epoch])
+
+
+async def everywhere(rig: Rig, epoch: int) -> bool:
+    return all([await by(rig, one.number, epoch) for one in rig.brokers if one.program is not None])
+
+
+def cut(rig: Rig, number: int, whole: bool = False) -> None:
+    for other in (one for one in range(len(rig.brokers)) if one != number):
+        for pair in ((number, other), (other, number)):
+            rig.network.stretches[pair].cut = not whole
+
+
+async def _stand(scene: Scene, seconds: float) -> tuple[Rig, Clients]:
+    async with standing(3, 2, 1, SITE) as rig:
+        clients = Clients([one.port for one in rig.brokers], 1, SITE.deadline_ms)
+        asker = Asker(1, "basic", 3, (0, 1), lambda t: 60.0, lambda t: int(t * 1000) % 3)
+        await until(lambda: everywhere(rig, 0), 5.0)
+        await asyncio.gather(clients.run([asker], seconds), scene(rig))
+        await rig.stop()
+    return rig, clients
+
+
+def play(case: unittest.TestCase, *scenes: Scene, seconds: float = 4.0) -> list[Rig]:
+    """Rigs side by side, a scene each; in none may two policies be gone by, or an answer be missed."""
+    async def all_of() -> list[tuple[Rig, Clients]]:
+        return await asyncio.gather(*(_stand(scene, seconds) for scene in scenes))
+
+    rigs = []
+    for rig, clients in asyncio.run(all_of()):
+        came = [one for node in rig.nodes for one in node.came]
+        found = check(came, [], [], {0: 24.0, 1: 48.0, 2: 48.0}, 6.0, (1,), SITE.burst, SITE.slack, 1.5)
+        case.assertTrue(found.held, found.notes)
+        for one in clients.asked:
+            down = any(a <= one.ended and one.due <= b + 0.05 for a, b in rig.brokers[one.broker].down)
+            case.assertTrue(one.end in ("served", "refused", "failed") or down, one)
+        rigs.append(rig)
+    return rigs
+
+
+class HardCases(unittest.TestCase):
+    def test_in_force_everywhere_or_nowhere_with_a_reason_and_a_sighup_is_a_proposal(self) -> None:
+        async def scene(rig: Rig) -> None:
+            await propose(rig, 0)
+            self.assertLess(await until(lambda: everywhere(rig, 1), 2.0), 2.0)
+            await propose(rig, 1, 36.0, SITE.deadline_ms - 50.0)
+
+            async def refused() -> bool:
+                return bool((await seen(rig, 1))["results"])
+
+            await until(refused, 2.0)
+            end, why, _ = (await seen(rig, 1))["results"][-1]
+            self.assertEqual(end, "nowhere")
+            self.assertIn("b2: class", why)
+            with self.assertRaises(CallError):  # the one that cannot says so itself, at once
+                await propose(rig, 2, 36.0, SITE.deadline_ms - 50.0)
+            broker = rig.brokers[0]
+            told = json.loads(broker.config.read_text())
+            told["settings"]["grades"][0]["cap"] = 30.0
+            broker.config.write_text(json.dumps(told))
+            broker.signal(signal.SIGHUP)
+            await until(lambda: everywhere(rig, 2), 2.0)
+            self.assertEqual((await seen(rig, 2))["policy"]["plan"][0]["limit"], 30.0)
+
+        play(self, scene)
+
+    def test_a_coordinator_that_dies_and_a_broker_that_is_down_hold_nothing_up_for_ever(self) -> None:
+        async def dies(rig: Rig) -> None:
+            await propose(rig, 0)
+            await asyncio.sleep(0.12)
+            await rig.restart(rig.brokers[0], 0.2)
+            epochs = {(await seen(rig, n))["epoch"] for n in (1, 2)}
+            await until(lambda: everywhere(rig, max(epochs)), 5.0)
+            self.assertEqual(len(epochs), 1)
+
+        async def down(rig: Rig) -> None:
+            gone = rig.brokers[2]
+            begun = asyncio.get_running_loop().time()
+            await gone.kill()
+            await propose(rig, 0)
+            self.assertLess(await until(lambda: everywhere(rig, 1), 3.2), 3.1)  # a lease and two seconds
+            await gone.start()
+            await gone.ready()  # by then it has the policy that is in force
+            self.assertTrue(await by(rig, 2, 1))
+            gone.down.append((begun, asyncio.get_running_loop().time()))
+
+        play(self, dies, down, seconds=6.0)
+
+    def test_one_that_is_cut_off_goes_by_the_floor_and_one_that_was_stopped_by_nothing_old(self) -> None:
+        async def apart(rig: Rig) -> None:
+            cut(rig, 0)
+            await propose(rig, 1)
+            await until(lambda: by(rig, 1, 1), 3.2)
+            self.assertEqual((await seen(rig, 0))["goes_by"], "floor")
+            with self.assertRaises(CallError):  # it may not know the newest
+                await propose(rig, 0)
+            cut(rig, 0, whole=True)
+            self.assertLess(await until(lambda: everywhere(rig, 1), 2.0), 2.0)
+
+        async def stopped(rig: Rig) -> None:
+            asleep = asyncio.create_task(rig.pause(rig.brokers[2], 3.5))
+            await asyncio.sleep(0.1)
+            await propose(rig, 0)
+            await until(lambda: by(rig, 0, 1), 3.2)
+            await asleep
+            await until(lambda: everywhere(rig, 1), 2.0)
+
+        rigs = play(self, apart, stopped, seconds=6.5)
+        late = [one for node in rigs[1].nodes for one in node.came if one.broker == 2]
+        self.assertTrue(any(one.epoch == "1" for one in late))
+
+    def test_a_lost_store_does_not_vote_and_one_that_cannot_write_is_silent_not_dead(self) -> None:
+        async def lost(rig: Rig) -> None:
+            await propose(rig, 0)
+            await until(lambda: everywhere(rig, 1), 2.0)
+            await rig.restart(rig.brokers[1], 0.1, lambda: rig.store(1).unlink())
+            self.assertFalse((await seen(rig, 1))["votes"] and (await seen(rig, 1))["epoch"] < 2)
+
+            async def votes() -> bool:
+                return bool((await seen(rig, 1))["votes"])
+
+            await until(votes, 5.0)
+            await until(lambda: everywhere(rig, 2), 3.0)
+
+        async def full(rig: Rig) -> None:
+            blocked = rig.store(1).with_name(rig.store(1).name + ".part")
+            blocked.mkdir()  # no file can be written beside the store
+            await propose(rig, 0)
+            await until(lambda: by(rig, 0, 1), 3.5)  # the two others decide
+            self.assertNotEqual((await seen(rig, 1))["goes_by"], [0, 0])
+            blocked.rmdir()
+            await until(lambda: everywhere(rig, 1), 3.0)
+
+        play(self, lost, full, seconds=6.0)
+
+
+class Stores(unittest.TestCase):
+    def test_a_store_cut_at_any_byte_or_with_any_byte_changed_is_not_believed(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            store = Store(f"{folder}/votes")
+            self.assertIsNone(store.read())
+            store.begin()
+            with self.assertRaises(StoreError):
+                store.begin()
+            store.write(b"a vote" * 20)
+            whole = store.path.read_bytes()
+            self.assertEqual(store.read(), b"a vote" * 20)
+            for at in range(len(whole)):
+                for damaged in (whole[:at], whole[:at] + bytes((whole[at] ^ 0x41,)) + whole[at + 1 :]):
+                    store.path.write_bytes(damaged)
+                    with self.assertRaises(StoreError):
+                        store.read()
+            (Path(folder) / "votes.part").write_bytes(whole[:7])  # a write that was cut
+            store.path.write_bytes(whole)
+            self.assertEqual(store.read(), b"a vote" * 20)
+
+
+class Commands(unittest.TestCase):
+    def test_the_command_line_checks_shows_proposes_and_follows(self) -> None:
+        def run(*words: str) -> tuple[int, str]:
+            with redirect_stdout(StringIO()) as out:
+                return cli.main(["policy", *words]), out.getvalue()
+
+        async def scene(rig: Rig) -> None:
+            at = [f"127.0.0.1:{one.admin}" for one in rig.brokers]
+            file = rig.folder / "new.toml"
+            file.write_text((await asyncio.to_thread(run, "show", at[0]))[1].replace("24.0", "48.0"))
+            self.assertEqual((await asyncio.to_thread(run, "check", str(file)))[0], 0)
+            told = await asyncio.to_thread(run, "diff", str(file), at[1])
+            self.assertEqual(told, (0, "plan basic: limit 24 -> 48\n"))
+            told = await asyncio.to_thread(run, "propose", str(file), at[1], "--dry-run")
+            self.assertEqual(told[0], 0)
+            told = await asyncio.to_thread(run, "propose", str(file), at[1], "--note", "twice", "--wait", "3")
+            self.assertEqual((told[0], told[1].splitlines()[-1]), (0, "in force, epoch 1"))
+            await until(lambda: everywhere(rig, 1), 2.0)
+            code, table = await asyncio.to_thread(run, "status", *at)
+            self.assertEqual((code, len(table.splitlines())), (0, 4))
+            self.assertIn("1 b1: twice", (await asyncio.to_thread(run, "history", at[2]))[1])
+            self.assertEqual((await asyncio.to_thread(run, "abort", at[0]))[0], 1)
+
+        play(self, scene)
+
+
+class Drilled(unittest.TestCase):
+    def test_every_rule_holds(self) -> None:
+        figures, found, answers = asyncio.run(drill.run(drill.Options(11, 20.0)))
+        self.assertTrue(drill.held(figures, found, answers), (figures, found.notes, answers.notes))
+
+    def test_the_checker_finds_what_is_planted_on_processes(self) -> None:
+        _, found, _ = asyncio.run(drill.run(drill.Options(5, 18.0, bent="switches-at-once")))
+        self.assertGreater(found.mixed_epochs + found.stale_serving + found.limit_excess, 0)
+
+    def test_the_checker_holds_what_was_told_against_what_is_so(self) -> None:
+        ends = [{"name": "a", "epoch": 2, "state": "x", "history": ["1 a: one", "2 a: two"]}] * 2
+        told = [Proposed(note, 1, 0, 0, True, end=end, told_at=1, epoch=epoch) for note, end, epoch in (
+            ("one", "in force", 1), ("two", "nowhere", 0), ("three", "in force", 2))]
+        found = check([], told, ends, {}, 1, (), 1, 1, 1)
+        self.assertEqual((found.half_changes, found.lost_changes), (1, 1))
+        found = check([], [], [*ends, {**ends[0], "state": "y"}], {}, 1, (), 1, 1, 1)
+        self.assertEqual(found.half_changes, 1)
