--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -100,6 +100,8 @@
         return 0 if float(str(figures["ratio"])) <= 2 else 1
     if options.name == "fleet":
         return _bench_fleet(options)
+    if options.name == "policy":
+        return _bench_policy(options)
     if options.name == "iscsi":
         told = bench_iscsi.figures(options.seconds, options.against)
         for row in told:
@@ -145,6 +147,30 @@
     return 1 if broken else 0
 
 
+def _bench_policy(options: argparse.Namespace) -> int:
+    """What docs/policy-change.md states: 1 where a state is wrong."""
+    if options.part == "switch":
+        from lemonridge.lab.measure import rollout as measured
+
+        for row in measured.figures():
+            print(line(row), flush=True)
+        return 0
+    from lemonridge.lab.checkers import rollout
+
+    broken = False
+    searches = [(rollout.agreement(one), "agreement", one) for one in rollout.STATED_AGREEMENT]
+    searches += [(rollout.leases(one), "leases", one) for one in rollout.STATED_LEASES]  # type: ignore[misc]
+    for found, what, bounds in searches:
+        broken = broken or bool(found.broken) or not found.whole
+        print(line({"bench": "policy", "part": what, "tries": sum(bounds.tries), "wipes": bounds.wipes,
+                    "crashes": bounds.crashes, "asks": bounds.asks, "ticks": bounds.ticks,
+                    "flights": bounds.flights, "lags": bounds.lags, "states": found.states,
+                    "whole": int(found.whole), "broken": found.broken or "none"}), flush=True)  # fmt: skip
+        for move in found.path:
+            print(f"  {move}")
+    return 1 if broken else 0
+
+
 def line(figures: dict[str, object]) -> str:
     """key=value, as the log has it."""
     return " ".join(f'{name}="{value}"' if " " in str(value) else f"{name}={value}"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -974,8 +974,8 @@
     assert volume.plan == tight and volume.store.fill(rig.now) <= min(before, 3.0)
     sent = len(sends(rig.pass_time(2_000_000)))
     assert sent <= 3 + 2, (sent, len(held))
-    rig.do(api.Configured(replace(SETTINGS, plans=(SETTINGS.plans[0], replace(tight, limit=1000.0, burst=100.0),
-                                                   *SETTINGS.plans[2:])), True))  # fmt: skip
+    wide = (SETTINGS.plans[0], replace(tight, limit=1000.0, burst=100.0), *SETTINGS.plans[2:])
+    rig.do(api.Configured(replace(SETTINGS, plans=wide), True))
     assert not any(lane.parked for lane in volume.lanes.values())  # it waits for its old limit no more
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,137 +3,18 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Callable
 from random import Random
 from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lemonridge.fleet.wire import KINDS, Head, Item, State, decode, encode
+from lemonridge.fleet.wire import KINDS, Head, State, decode, encode
 from lemonridge.lab.checkers import rollout as checker
+from lemonridge.lab.measure.rollout import Net, policy
 from lemonridge.rollout import document, leases, machine, paxos
-from lemonridge.rollout.document import Class, Plan, Policy, PolicyError, Rules
-from lemonridge.rollout.leases import NOTHING, common
-from lemonridge.rollout.machine import Keep, Rollout, Say
-
-STEP_US = 10_000
-
-
-def policy(limit: float = 24.0, aim_ms: float = 300.0, attempts: int = 4) -> Policy:
-    basic = Plan(name="basic", limit=limit, burst=12.0, slack=2.0)
-    return Policy(plan=(basic, Plan(name="gold", reserve=40.0)),
-                  classes=(Class(name="read", aim_ms=aim_ms),),
-                  rules=Rules(max_attempts=attempts))  # fmt: skip
-
-
-def judge(_: Policy) -> str:
-    return ""
-
-
-class Net:
-    """Brokers, each with a disk, and what is between them: delays, losses, cuts, copies, crashes, stops."""
-
-    def __init__(self, size: int = 5, seed: int = 1, error_us: int = machine.ERROR_US) -> None:
-        self.extra, self.slow, self.error_us = [0] * size, [1.0] * size, error_us
-        self.now, self.size, self.random = 10**9, size, Random(seed)
-        self.names = tuple(f"b{n}" for n in range(size))
-        self.genesis = document.State(epoch=0, prior="", voters=dict.fromkeys(self.names[:5], 0),
-                                      policy=policy(), floor=document.floor(policy(), 0.25))
-        kept = machine.Kept(0, document.encode(self.genesis))
-        self.disks: list[bytes | None] = [machine.msgspec.msgpack.encode(kept)] * size
-        self.lives = [0] * size
-        self.brokers: list[Rollout | None] = [None] * size
-        self.stopped: set[int] = set()
-        self.cut: set[tuple[int, int]] = set()
-        self.loss = self.copies = 0.0
-        self.judges: list[Callable[[Policy], str]] = [judge] * size
-        self.flying: list[tuple[int, int, int, int, Item]] = []  # when, to, from, its life, what
-        self.decided: dict[int, str] = {}
-        for n in range(size):
-            self.start(n)
-
-    def start(self, n: int) -> None:
-        self.lives[n] += 1
-        ident = self.random.randrange(1, 1 << 60)
-        self.brokers[n] = Rollout(n, self.names, self.lives[n], self.genesis, self.disks[n], ident,
-                                  lambda told, n=n: self.judges[n](told), n, self.at(n),  # type: ignore[misc]
-                                  error_us=self.error_us)
-        self.take(n)
-
-    def at(self, n: int) -> int:
-        """A broker's own clock."""
-        return 10**9 + int((self.now - 10**9) * self.slow[n])
-
-    def kill(self, n: int, wiped: bool = False) -> None:
-        self.brokers[n] = None
-        if wiped:
-            self.disks[n] = None
-
-    def broker(self, n: int) -> Rollout:
-        made = self.brokers[n]
-        assert made is not None
-        return made
-
-    def take(self, n: int, most: int | None = None) -> None:
-        """Do what a broker wants done, in its order; it may die after `most` things of it."""
-        made = self.broker(n)
-        out, made.out = made.out, []
-        for action in out[:most]:
-            if isinstance(action, Keep):
-                self.disks[n] = action.data
-            elif isinstance(action, Say) and (n, action.to) not in self.cut:
-                for _ in range(1 + (self.random.random() < self.copies)):
-                    if self.random.random() >= self.loss:
-                        at = self.now + self.random.randrange(500, 25_000) + self.extra[action.to]
-                        self.flying.append((at, action.to, n, self.lives[n], action.item))
-
-    def step(self) -> None:
-        self.now += STEP_US
-        due = [one for one in self.flying if one[0] <= self.now and one[1] not in self.stopped]
-        self.flying = [one for one in self.flying if one not in due]
-        for _, to, source, life, item in due:
-            if self.brokers[to] is not None:
-                self.broker(to).heard(source, life, item, self.at(to))
-                self.take(to)
-        for n, made in enumerate(self.brokers):
-            if made is not None and n not in self.stopped:
-                made.tick(self.at(n))
-                self.take(n)
-        self.check()
-
-    def run(self, seconds: float) -> None:
-        for _ in range(int(seconds * 1e6 / STEP_US)):
-            self.step()
-
-    def check(self) -> None:
-        """No two go by policies without a common epoch, and an epoch is one state everywhere."""
-        modes = self.modes()
-        assert common(modes.values()), modes
-        for made in self.brokers:
-            if made is not None:
-                told = self.decided.setdefault(made.state.epoch, made.name.hex())
-                assert told == made.name.hex(), (made.state.epoch, told, made.name.hex())
-
-    def modes(self) -> dict[int, leases.Interval]:
-        """By what each decides; one that is stopped sends nothing."""
-        return {n: made.mode(self.at(n)) for n, made in enumerate(self.brokers)
-                if made is not None and n not in self.stopped}
-
-    def until(self, true: Callable[[], bool], most_s: float) -> float:
-        """Seconds until something is so."""
-        begun = self.now
-        while not true():
-            assert self.now - begun < most_s * 1e6, (self.modes(), [b and b.results for b in self.brokers])
-            self.step()
-        return (self.now - begun) / 1e6
-
-    def everywhere(self, epoch: int) -> bool:
-        return all(mode == (epoch, epoch) for mode in self.modes().values())
-
-    def steady(self) -> Net:
-        self.until(lambda: self.everywhere(0), 3.0)
-        return self
+from lemonridge.rollout.document import Class, Plan, Policy, PolicyError
+from lemonridge.rollout.leases import NOTHING
 
 
 class Documents(unittest.TestCase):
