Learn a state from another source when one falls silent, and hold a store for one process

Cause, found by reading the change: a source that dies while a state is learnt was kept for 5 s, as each new question counted as news of it (tests/test_rollout.py fails without this); two processes of one broker would overwrite each other's votes; what was asked for of a limit was still counted by the file's limit after a change, so too little was borrowed of a lowered one.

--- a/lemonridge/governance.py
+++ b/lemonridge/governance.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import os
 import secrets
@@ -14,6 +15,7 @@
 from collections import deque
 from functools import partial
 from pathlib import Path
+from typing import TextIO
 
 import crc32c
 import msgspec
@@ -51,6 +53,16 @@
 
     def __init__(self, path: str) -> None:
         self.path = Path(path)
+        self._held: TextIO | None = None
+
+    def hold(self) -> None:
+        """Be its only process, until this one ends; StoreError where another is: two would overwrite each
+        other's votes."""
+        try:
+            self._held = open(self.path.with_name(self.path.name + ".lock"), "w")  # noqa: SIM115
+            fcntl.flock(self._held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            raise StoreError(f"{self.path} cannot be held: {error.strerror}") from None
 
     def read(self) -> bytes | None:
         """What was written last; None where there is no file. StoreError where it is damaged."""
@@ -100,6 +112,10 @@
         self._clock, self._counters = clock, counters
         self._loop = asyncio.get_running_loop()
         self._store = Store(plan.rollout.store)
+        try:
+            self._store.hold()
+        except StoreError as error:
+            raise ConfigError(str(error)) from None
         try:
             kept = self._store.read()
         except StoreError as error:
@@ -230,7 +246,9 @@
         self._counters["policy.floors" if mode == NOTHING else "policy.modes"] += 1
         log.info("goes by", extra={"epochs": "floor" if mode == NOTHING else f"{mode[0]}-{mode[1]}",
                                    "newest": now[1], "fault": self.rollout.fault})  # fmt: skip
-        return self._settings()
+        settings = self._settings()
+        self._peers.configure(settings)  # what is asked for of a limit is counted by the limit in force
+        return settings
 
     def _settings(self) -> api.Settings:
         return self._apply(self.rollout.policy((self._mode or self._now())[0]))
--- a/lemonridge/rollout/machine.py
+++ b/lemonridge/rollout/machine.py
@@ -114,6 +114,7 @@
     count: int = 0
     asked_us: int = 0
     begun_us: int = 0
+    heard_us: int = 0  # when a piece came last
     check: Check | None = None  # to be answered then
 
 
@@ -368,18 +369,18 @@
         if found is None and len(self._fetches) >= STATES_MAX:
             del self._fetches[next(iter(self._fetches))]
         if found is None:
-            self._fetches[name] = _Fetch(slot, who, begun_us=now_us)
+            self._fetches[name] = _Fetch(slot, who, begun_us=now_us, heard_us=now_us)
             self._say(who, Need(name, 0))
         else:
             found.slot = max(found.slot, slot)
-            if now_us - found.asked_us > 4 * AGAIN_US:
-                found.source = who  # the one who was asked says nothing
+            if now_us - found.heard_us > 4 * AGAIN_US:
+                found.source, found.heard_us = who, now_us  # the one who was asked says nothing
 
     def _piece(self, item: Piece, now_us: int) -> None:
         found = self._fetches.get(item.name)
         if found is None or not 0 < item.count <= document.VALUE_MAX // PIECE + 1 or item.piece >= item.count:
             return
-        found.count = item.count
+        found.count, found.heard_us = item.count, now_us
         found.pieces[item.piece] = item.data[: item.size]
         if len(found.pieces) < found.count:
             if item.piece == 0 or not any(n in found.pieces for n in range(item.piece + 1, found.count)):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -186,6 +186,18 @@
         net.broker(1).propose(Policy(plan=plans, classes=rows), "large", net.now)
         net.until(lambda: net.everywhere(1), 8.0)
 
+    def test_a_source_that_dies_while_a_state_is_learnt_is_replaced(self) -> None:
+        net = Net().steady()
+        net.kill(4)
+        plans = (*policy().plan, *(Plan(name=f"plan {n}", weight=float(n)) for n in range(60)))
+        net.broker(1).propose(Policy(plan=plans, classes=policy().classes), "large", net.now)
+        net.until(lambda: net.everywhere(1), 5.0)
+        net.start(4)
+        net.until(lambda: bool(net.broker(4)._fetches), 2.0)
+        source = next(iter(net.broker(4)._fetches.values())).source
+        net.kill(source)
+        self.assertLess(net.until(lambda: net.modes().get(4) == (1, 1), 5.0), 2.0)
+
     @settings(max_examples=12, deadline=None)
     @given(st.integers(0, 10**6), st.sampled_from((3, 5, 7)))
     def test_whatever_happens_no_two_policies_are_in_force_and_all_come_together(self, seed: int,
--- a/tests/test_rollout_live.py
+++ b/tests/test_rollout_live.py
@@ -202,6 +202,9 @@
             store.begin()
             with self.assertRaises(StoreError):
                 store.begin()
+            store.hold()
+            with self.assertRaises(StoreError):
+                Store(f"{folder}/votes").hold()  # one process at a time
             store.write(b"a vote" * 20)
             whole = store.path.read_bytes()
             self.assertEqual(store.read(), b"a vote" * 20)
