--- a/lemonridge/lab/checkers/fleet.py
+++ b/lemonridge/lab/checkers/fleet.py
@@ -30,7 +30,18 @@
 
 
 @dataclass(slots=True)
-class Findings:
+class Notes:
+    """What is said of broken rules, as far as it is of use."""
+
+    notes: list[str] = field(default_factory=list, kw_only=True)
+
+    def note(self, text: str) -> None:
+        if len(self.notes) < NOTES_MAX:
+            self.notes.append(text)
+
+
+@dataclass(slots=True)
+class Findings(Notes):
     """Broken rules, by kind."""
 
     limit_excess: int = 0
@@ -39,11 +50,6 @@
     double_answers: int = 0
     unanswered: int = 0
     cold_overloads: int = 0
-    notes: list[str] = field(default_factory=list)
-
-    def note(self, text: str) -> None:
-        if len(self.notes) < NOTES_MAX:
-            self.notes.append(text)
 
     @property
     def held(self) -> bool:
--- a/lemonridge/lab/checkers/policy.py
+++ b/lemonridge/lab/checkers/policy.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from lemonridge.lab.checkers.fleet import ON_SOCKETS_S
+from lemonridge.lab.checkers.fleet import ON_SOCKETS_S, Notes
 from lemonridge.lab.standins.cold import Came
 
 APART_S = 0.05  # two logs of one moment
 EDGE_S = 0.1  # before an epoch's first send and after its last it may be gone by
-NOTES_MAX = 20
 
 
 @dataclass(slots=True)
@@ -34,7 +33,7 @@
 
 
 @dataclass(slots=True)
-class Findings:
+class Findings(Notes):
     """Broken rules, by kind."""
 
     mixed_epochs: int = 0
@@ -42,11 +41,6 @@
     lost_changes: int = 0
     stale_serving: int = 0
     limit_excess: int = 0
-    notes: list[str] = field(default_factory=list)
-
-    def note(self, text: str) -> None:
-        if len(self.notes) < NOTES_MAX:
-            self.notes.append(text)
 
     @property
     def held(self) -> bool:
