Judge the policy that a broker finds on its own disk before it goes by it

Cause, found by reading the change again: why a broker cannot decide by the policy in force was set when a state was learnt, not when it was read from its store at a start. Such a broker got a lease, said ready, and each decision would have failed on settings that cannot be applied. Now it is judged at the start too: it goes by the floor, is not ready, and status says why. The test of a broker that was down and cannot, started once more on its store, fails without this (1 failed) and passes with it. Ruled out as worth a change: the rows of duplicates are alike in shape only (datagram items, dataclasses).

--- a/lemonridge/rollout/machine.py
+++ b/lemonridge/rollout/machine.py
@@ -132,11 +132,11 @@
         self.out: list[Action] = []
         self._random = Random(f"{seed}/rollout")
         self.states: dict[bytes, bytes] = {}  # by name
-        self.fault = ""  # why this broker may not go by the policy that is in force
         told = msgspec.msgpack.decode(kept, type=Kept) if kept is not None else None
         self.ident = told.ident if told is not None else ident
         self.state = document.decode(told.state) if told is not None and told.state else genesis
         self.name = self._store(document.encode(self.state))
+        self.fault = judge(self.state.policy)  # why this broker may not go by the policy that is in force
         self.before: State | None = None  # the one before, while its lease may be in use
         self.voter = Voter(self.ident, self.state.epoch + 1)
         if told is not None and told.took:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -106,6 +106,10 @@
         net.start(3)
         net.run(4.0)
         self.assertEqual((net.modes()[3], net.broker(3).fault), (NOTHING, "too little memory"))
+        net.kill(3)
+        net.start(3)  # with the state on its disk
+        net.run(4.0)
+        self.assertEqual((net.modes()[3], net.broker(3).fault), (NOTHING, "too little memory"))
 
     def test_a_coordinator_that_dies_at_any_step_leaves_it_in_force_everywhere_or_nowhere(self) -> None:
         ends = set()
