Take no reset for the end of an answer without a length

Checked: on loopback, a node that sends the head, lets it be read, sends a part of the body and resets: the client got 200 with the part. A reset together with the head was right before (the head is still in the queue, and its error goes first); that was ruled out. At fault: AnswerReader.connection_lost (net/http_answer.py) put the error on the queue of heads alone. Once the head was taken, the error was read by nobody, and aiohttp's parser, told of the end, made the body a whole one. Change: the error goes to the body too.

--- a/lemonridge/net/http_answer.py
+++ b/lemonridge/net/http_answer.py
@@ -95,7 +95,10 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if exc is not None and self._until_end:
-            self.set_exception(BrokenError("cut short"))
+            error = BrokenError("cut short")
+            self.set_exception(error)
+            if self._payload is not None:  # the head is taken, and the parser would call this end a whole one
+                self._payload.set_exception(error)
         super().connection_lost(exc)
 
     def _spoilt(self, why: str) -> None:
