See the end of a client's connection that is not read meanwhile

Need: a request whose client has left is not sent on more than 0.3 s later. Seen on loopback: a client that sends over 16 KiB behind its open request is not read any further, and its leaving lies behind the unread bytes; its request waited on and was sent. At fault: Connection.data_received (net/http_connection.py) pauses its reader, and nothing else looks at the socket. Change: while it is paused the system is asked every 0.1 s whether the other side has ended (POLLRDHUP), which is seen past unread bytes. Ruled out: to read on without a bound; to end such a connection, which would lose what it was owed.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -16,7 +16,7 @@
 from lemonridge.core.clock import Clock
 from lemonridge.counters import Counters
 from lemonridge.net import heads
-from lemonridge.net.wire import LONG_MAX, quiet
+from lemonridge.net.wire import LONG_MAX, ended, quiet
 from lemonridge.operate.life import Life, Phase
 
 WAIT_S = 2.0  # a connection with no open request may be closed after that
@@ -33,6 +33,7 @@
 LOOKED_AT = 8  # of a state, for one that can be spared: a crowd must not cost a look at all of it
 SHORT = 16 * 1024  # a body that is not counted against the long ones
 AHEAD = 16 * 1024  # bytes behind an open request, before they are left in the socket
+LOOK_S = 0.1  # how often it is looked for the end of a connection that is not read meanwhile
 
 
 class State(IntEnum):
@@ -195,9 +196,20 @@
         self._room.buffered += len(data)
         if self.state is not State.BUSY:
             self._next()
-        elif len(self._data) > AHEAD:
+        elif len(self._data) > AHEAD and not self._paused:
             self._paused = True
             self._transport.pause_reading()
+            self._look()
+
+    def _look(self) -> None:
+        """See the end of a connection that is not read: the loop would tell of it behind all that waits there
+        only, and until then the request of a client that has left would be sent on."""
+        if self._over or not self._paused or self._transport.is_closing():
+            return
+        if ended(self._transport):
+            self._transport.abort()
+        else:
+            asyncio.get_running_loop().call_later(LOOK_S, self._look)
 
     def answered(self, keep: bool) -> None:
         """The answer to the open request is written, or can't be."""
--- a/lemonridge/net/wire.py
+++ b/lemonridge/net/wire.py
@@ -25,9 +25,18 @@
 def quiet(transport: asyncio.BaseTransport) -> bool:
     """Whether nothing waits to be read on a connection, not even its end. It is asked of the system, since a
     busy event loop has not read yet what came."""
+    return not _poll(transport, select.POLLIN)
+
+
+def ended(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended a connection, also where that lies behind what is not read."""
+    return _poll(transport, select.POLLRDHUP)
+
+
+def _poll(transport: asyncio.BaseTransport, events: int) -> bool:
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return not poll.poll(0)
+    poll.register(transport.get_extra_info("socket").fileno(), events)
+    return bool(poll.poll(0))
 
 
 def session(connector: aiohttp.BaseConnector, **options: object) -> aiohttp.ClientSession:
