Judge an attempt again at its first byte, and send nothing for a client that has left

Seen on loopback: a client that leaves while a connection to a node is made has its request sent on. Checked by reading each decision between order and first byte: only the drain was looked at again (HttpNodes._before_first_byte). At fault: Broker._attempt and both nodes' sides, which took the order as valid however late it came to be used; policy._send, which draws a limit's units at the decision, while they count when the request comes to the node: what is on its way lets the store fill up beside it, and what was never reached was never given back, though its repeat comes much later. Change: `Attempt.begin`, called right before the first byte by both nodes' sides, asks the request (its client is there, no answer is given) and the module (`Scheduler.begins`: not over, inside the window of a keyed repeat, and where its node turned cold meanwhile, within the part). An attempt that has not begun ends with its client's leaving. `Ended.begun` says whether anything was sent; a limit's units stand beside the store (`Store.away`) until then and go back where nothing came. Tests: five in test_policy.py, three in test_core.py, three in test_crossings.py.

--- a/lemonridge/api.py
+++ b/lemonridge/api.py
@@ -157,7 +157,8 @@
 @dataclass(frozen=True, slots=True)
 class Ended:
     """One attempt ended; what the answer told, or None: `used` and `elsewhere` of the volume, and
-    `held`, the requests of all hosts at the node by its own report."""
+    `held`, the requests of all hosts at the node by its own report. `begun`: a part of it was sent, or may
+    have been; one that never was takes nothing from a limit."""
 
     request: str
     attempt: int
@@ -168,6 +169,7 @@
     used: int | None
     elsewhere: float | None
     held: float | None
+    begun: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from lemonridge import api
 from lemonridge.core.decider import Decider, Mailbox
@@ -73,7 +74,8 @@
             while (order := await mailbox.next_send()) is not None:
                 sent_us = self._decider.clock.now_us()
                 relied = request.route.shard if request.route is not None else request.shard
-                attempt = Attempt(request, number, order.node, decided_s=mailbox.decided_s)
+                attempt = Attempt(request, number, order.node, self._judge(mailbox, number),
+                                  decided_s=mailbox.decided_s)
                 outcome = await self._attempt(mailbox, attempt)
                 lag_us = self._decider.clock.now_us() - sent_us
                 if outcome.result is api.Result.OK:
@@ -82,7 +84,7 @@
                         outcome.reply.close()
                 self._decider.tell(api.Ended(
                     mailbox.name, number, order.node, outcome.result, lag_us, mailbox.answer.done(),
-                    outcome.used, outcome.elsewhere, outcome.held,
+                    outcome.used, outcome.elsewhere, outcome.held, attempt.begun,
                 ))  # fmt: skip
                 if routes is not None and not mailbox.answer.done():
                     shard = await self._route(mailbox, routes, outcome)
@@ -111,12 +113,18 @@
         except TimeoutError:
             return None
 
+    def _judge(self, mailbox: Mailbox, number: int) -> Callable[[], bool]:
+        return lambda: self._decider.begins(mailbox, number)
+
     async def _attempt(self, mailbox: Mailbox, attempt: Attempt) -> Outcome:
         """One attempt, until the request's deadline or until it is called off.
 
-        What never came to the node cannot have run; what did may have, whatever cut it short.
+        What never came to the node cannot have run; what did may have, whatever cut it short. None begins for
+        a request that is over: its client may have left since it was decided on.
         """
-        mailbox.number, mailbox.cancelled = attempt.number, False
+        if mailbox.answer.done():
+            return Outcome(api.Result.MOOT)
+        mailbox.attempt, mailbox.cancelled = attempt, False
         route = attempt.request.route
         try:
             if route is not None:
@@ -125,7 +133,7 @@
             async with asyncio.timeout_at(at) as mailbox.scope:
                 outcome = await self._nodes.attempt(attempt)
         except TimeoutError:
-            if not attempt.reached:
+            if not attempt.begun:
                 outcome = Outcome(api.Result.MOOT if mailbox.cancelled else api.Result.UNREACHED)
             else:
                 outcome = Outcome(api.Result.CANCELLED if mailbox.cancelled else api.Result.TIMEOUT)
@@ -135,11 +143,11 @@
             outcome = Outcome(api.Result.MOOT)
         except Exception:
             log.exception("attempt failed")
-            outcome = Outcome(api.Result.RESET if attempt.reached else api.Result.UNREACHED)
+            outcome = Outcome(api.Result.RESET if attempt.begun else api.Result.UNREACHED)
         finally:
-            mailbox.scope = None
+            mailbox.scope = mailbox.attempt = None
             if route is not None:
                 route.flying = False
-        self._counters["attempts.sent"] += attempt.reached
+        self._counters["attempts.sent"] += attempt.begun
         self._counters[f"attempts.{outcome.result.name.lower()}"] += 1
         return outcome
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -11,7 +11,7 @@
 
 from lemonridge import api
 from lemonridge.core.clock import Clock
-from lemonridge.core.model import Answer, Kind, Request
+from lemonridge.core.model import Answer, Attempt, Kind, Request
 from lemonridge.counters import Counters
 from lemonridge.policy import Scheduler
 
@@ -25,7 +25,7 @@
         self.name, self.request = name, request
         self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.scope: asyncio.Timeout | None = None  # of the attempt in flight
-        self.number = -1  # of the attempt in flight
+        self.attempt: Attempt | None = None  # the one in flight
         self.cancelled = False  # it was called off
         self.decided_s = 0.0  # when the last attempt was, on the loop's clock
         self._orders: deque[api.Send] = deque()
@@ -36,6 +36,8 @@
         if self.answer.done():
             return False
         self.answer.set_result(answer)
+        if self.attempt is not None and not self.attempt.begun:
+            self._call_off()  # it would not begin any more
         self._wake()
         return True
 
@@ -49,7 +51,12 @@
             self.settle(Answer(Kind.REFUSED, backoff_us=action.backoff_us))
         elif isinstance(action, api.Fail):
             self.settle(Answer(Kind.FAILED))
-        elif self.scope is not None and not self.scope.expired() and action.attempt == self.number:
+        elif self.attempt is not None and action.attempt == self.attempt.number:
+            self._call_off()
+
+    def _call_off(self) -> None:
+        """End the attempt in flight."""
+        if self.scope is not None and not self.scope.expired():
             self.cancelled = True
             self.scope.reschedule(asyncio.get_running_loop().time())
 
@@ -102,7 +109,7 @@
         self._settings, self._seed = settings, seed
         self.clock, self._counters = clock, counters
         self._loop = asyncio.get_running_loop()
-        self._scheduler = Scheduler(settings, seed)
+        self._scheduler = Scheduler(settings, seed, asked=True)
         self._mailboxes: dict[str, Mailbox] = {}
         self._events: list[api.Event] = []
         self._due = False
@@ -144,6 +151,11 @@
         """Be the process whose limits fill, from these units on."""
         self._scheduler.take(self.clock.now_us(), levels)
 
+    def begins(self, mailbox: Mailbox, number: int) -> bool:
+        """Whether an attempt may still begin: its client has not left and has no answer, and the decisions
+        stand by it. Asked at its first byte, for which it may have waited."""
+        return not mailbox.answer.done() and self._scheduler.begins(self.clock.now_us(), mailbox.name, number)
+
     def close(self, mailbox: Mailbox) -> None:
         """The life of a request is over."""
         self._mailboxes.pop(mailbox.name, None)
@@ -241,7 +253,7 @@
             self._timer.cancel()
             self._timer = None
         self._seed += 1
-        self._scheduler = Scheduler(self._settings, self._seed)
+        self._scheduler = Scheduler(self._settings, self._seed, asked=True)
         if self.onlooker is not None:
             self.onlooker.renewed()
         self.tell(api.Listed(api.ListKind.STALE, self.relist()))
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -38,14 +38,22 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One try of a request at one node. `reached` is set just before its first byte is written."""
+    """One try of a request at one node. `begun` is set just before its first byte is written."""
 
     request: Request
     number: int
     node: str
-    reached: bool = False
+    judge: Callable[[], bool] = lambda: True  # whether it may still begin
+    begun: bool = False
     decided_s: float = 0.0  # on the loop's clock
 
+    def begin(self) -> None:
+        """Begin, with nothing awaited between this and the first byte: what was decided before a connection
+        was made may hold no more. `WithheldError` then."""
+        if not self.judge():
+            raise WithheldError
+        self.begun = True
+
 
 @runtime_checkable
 class Flow(Protocol):
--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -81,7 +81,7 @@
                 log.error("node does not check versions", extra={"node": attempt.node})
                 raise UnreachedError
             ahs = versions.pack_ahs(route.piece.extent, route.piece.version)
-        attempt.reached = True  # from here on it may have run: no await stands between this and the write
+        attempt.begin()  # from here on it may have run: no await stands between this and the write
         try:
             reply = await session.execute(command, ahs)
         except (LostError, ConnectionError):
--- a/lemonridge/lab/bent.py
+++ b/lemonridge/lab/bent.py
@@ -68,8 +68,8 @@
 
     real = policy.Scheduler.__init__
 
-    def begin(self: policy.Scheduler, settings: api.Settings, seed: int) -> None:
-        real(self, settings, seed)
+    def begin(self: policy.Scheduler, settings: api.Settings, seed: int, asked: bool = False) -> None:
+        real(self, settings, seed, asked)
         self.further = Bottomless(0)
 
     policy.Scheduler.__init__ = begin  # type: ignore[method-assign]
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -164,7 +164,7 @@
         except aiohttp.ClientConnectorError:
             raise UnreachedError from None
         except (aiohttp.ClientError, OSError):
-            if not attempt.reached:
+            if not attempt.begun:
                 raise UnreachedError from None
             return Outcome(api.Result.RESET)
 
@@ -176,7 +176,8 @@
     ) -> None:
         """aiohttp calls this once it has a connection and before it writes.
 
-        Guards the drain rule: the list may have changed while the connection was being made.
+        The list may have changed while the connection was being made, and so may all else by which the
+        attempt was decided on.
         """
         attempt: Attempt = context.trace_request_ctx
         if self._directory.address(attempt.node) is None:
@@ -185,7 +186,7 @@
             raise WithheldError
         if self.epoch is not None and self.epoch(attempt.decided_s) is None:
             raise WithheldError
-        attempt.reached = True
+        attempt.begin()
 
     async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
         reply = await gather(response)
--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -18,7 +18,7 @@
     Budget, Chilled, Judged, ListKind, Moved, Refuse, Result, Semantics, Send, Served, Settings, Sliced,
     Started, Subscribe, Wake, Why,
 )  # fmt: skip
-from lemonridge.stores import Ration, Recent, Regular, Share, Store, Timers, Usual
+from lemonridge.stores import Node, Ration, Regular, Share, Store, Timers, Usual
 
 # Tuned values; each says what it trades. None belongs to one deployment.
 CYCLE_US = 10_000  # Gage's cycle: shorter reacts sooner to a refill, longer costs less CPU
@@ -56,7 +56,7 @@
 
     __slots__ = (
         "id", "size", "shard", "volume", "deadline", "due", "key", "cls", "units", "sent", "open", "ran_us",
-        "ran_node", "drawn", "done", "started", "queued",
+        "ran_node", "drawn", "come", "spell", "done", "started", "queued",
     )  # fmt: skip
 
     def __init__(self, event: Arrived, cls: ClassInfo, volume: Volume, due: int) -> None:
@@ -68,7 +68,8 @@
         self.open: Node | None = None  # the node of the attempt in flight; never two at once
         self.ran_us = 0  # when the first attempt that may have run was sent
         self.ran_node: Node | None = None
-        self.drawn = self.done = self.started = self.queued = False
+        self.drawn = self.come = self.done = self.started = self.queued = False
+        self.spell: int | None = None  # the cold one in which its last attempt is counted
 
 
 class Lane:
@@ -97,33 +98,12 @@
         self.place, self.plan, self.hosts, self.settings = place, plan, hosts, settings
 
 
-class Node:
-    """What this host knows of one node."""
-
-    def __init__(self, entry: Entry, window: float) -> None:
-        self.id, self.shard, self.zone = entry.node, entry.shard, entry.zone
-        self.condition = entry.condition
-        self.born_us: int | None = None  # start of a cold spell
-        self.window, self.cut_us, self.rest_us, self.open = window, 0, 0, 0
-        self.held = 0.0  # requests of all hosts there, as last told
-        self.lag, self.dev, self.size = 0.0, 0.0, 1.0  # of a request of mean size; of the largest one out
-        self.quiet_us: int | None = None  # since when something is out and nothing was heard
-        self.probe_us, self.probes, self.unreached = 0, 0, 0
-        self.down_us = 0  # when it was first not reached since its last answer
-        self.heard_us = 0
-        self.cold_sent = Recent()
-        self.cold_level, self.cold_rate, self.cold_us, self.warm = 0.0, 0.0, 0, 1.0
-        self.lent = Share(0.0)  # to this host at a cold node, less what it lent: units a microsecond
-
-    def usual(self) -> float:
-        return self.lag + self.dev  # with its spread
-
-
 class Scheduler:
     """A pure state machine: `handle` takes a time and events, and returns actions."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, asked: bool = False) -> None:
         self.settings, self.random = settings, random.Random(seed)
+        self.asked = asked  # by the host, before each first byte; else an attempt begins as it is sent
         self.born: int | None = None
         self.requests: dict[str, Request] = {}
         self.flights: dict[tuple[str, int], tuple[Request, Node, int]] = {}
@@ -254,8 +234,7 @@
     def _arrived(self, event: Arrived) -> None:
         s, cls = self.settings, self.settings.classes[event.cls]
         self.ration.took(self.now, s.look_back_us)
-        volume = self.volumes.get(event.volume)
-        if volume is None:
+        if (volume := self.volumes.get(event.volume)) is None:
             volume = self.volumes[event.volume] = Volume(self.born or 0, self.flow, self.now, s)
             volume.store.level = self.levels.pop(event.volume, 0.0)
         if volume.settings is not s or max(1, event.hosts) > volume.hosts:
@@ -311,17 +290,15 @@
 
     def _ended(self, event: Ended) -> None:
         key = (event.request, event.attempt)
-        flight = self.flights.pop(key, None)
-        if flight is None:
+        if (flight := self.flights.pop(key, None)) is None:
             return
         r, node, sent_us = flight
         r.open = None
         node.open -= key not in self.lost
         self.lost.discard(key)
         self._observe(node, event, r, sent_us)
-        if event.result is Result.MOOT and r.sent == 1 and r.drawn:
-            r.drawn, r.volume.store.level = False, r.volume.store.level + r.units  # a moot send draws nothing
-            r.volume.undrawn += r.units
+        if r.drawn and not r.come:
+            self._come(r, event.result is not Result.MOOT and event.begun)
         if event.result not in UNRUN and r.ran_node is None:
             r.ran_node, r.ran_us = node, sent_us
         if event.result in UNSURE and r.key is not None:
@@ -421,19 +398,23 @@
         s = self.settings
         if r.done or r.open is not None or r.sent >= s.max_attempts:
             return False
-        if r.ran_node is not None and r.cls.semantics is not Semantics.SAFE:
-            if r.cls.semantics is Semantics.ONCE or self.now > r.ran_us + r.cls.memory_us - s.tick_us:
-                return False
-            group, ran = r.cls.group, r.ran_node
-            away = {Group.CELL: node and node.shard != ran.shard, Group.ZONE: node and node.zone != ran.zone}
-            if away.get(group):
-                return False
+        if not self._repeatable(r, node):
+            return False
         if r.sent and s.further_rate and self.further.fill(self.now) < 1.0:
             return False
         if r.sent and s.look_back_us:
             return self.ration.allows(self.now, s.look_back_us, s.free_resends, s.extra_ratio)
         return True
 
+    def _repeatable(self, r: Request, node: Node | None) -> bool:
+        """Whether its class lets it be sent again now, after what may have run."""
+        if (ran := r.ran_node) is None or r.cls.semantics is Semantics.SAFE:
+            return True
+        if r.cls.semantics is Semantics.ONCE or self.now > r.ran_us + r.cls.memory_us - self.settings.tick_us:
+            return False
+        away = {Group.CELL: node and node.shard != ran.shard, Group.ZONE: node and node.zone != ran.zone}
+        return not away.get(r.cls.group)
+
     def _give_up(self, r: Request, why: Why) -> None:
         """The final answer: a refusal where a repeat is harmless, else a failure."""
         ran, kind = r.ran_node is not None or r.open is not None, r.cls.semantics
@@ -464,9 +445,7 @@
 
     def _free_key(self, r: Request) -> None:
         """Let the next request of the key go once its forerunners are over and the key has rested."""
-        key = r.key
-        line = self.keys.get(key) if key is not None else None
-        if line is None or key is None:
+        if (key := r.key) is None or (line := self.keys.get(key)) is None:
             return
         while line and line[0].done and line[0].open is None:
             line.popleft()
@@ -580,6 +559,32 @@
         self._send(r, node)
         return r.units
 
+    def begins(self, now_us: int, request: str, attempt: int) -> bool:
+        """Whether an attempt may still begin: asked right before its first byte, as connections take time."""
+        self.now = now_us
+        r, node, _ = self.flights.get((request, attempt), (None, None, 0))
+        if r is None or node is None or r.done or not self._repeatable(r, node):
+            return False
+        if self._cold(node) and node.born_us != r.spell:  # it began meanwhile
+            if self._cold_wait(node, r):
+                return False
+            self._count_cold(r, node)
+        if r.drawn and not r.come:
+            self._come(r, True)
+        return True
+
+    def _come(self, r: Request, came: bool) -> None:
+        """A limit counts what comes to a node: what never did is drawn anew, if it is sent again."""
+        r.come = r.drawn = came
+        r.volume.undrawn += 0.0 if came else r.units
+        r.volume.store.arrive(r.units, self.now, not came)
+
+    def _count_cold(self, r: Request, node: Node) -> None:
+        r.spell = node.born_us
+        if node.born_us is not None:
+            node.cold_sent.add(self.now, r.units)
+            node.cold_level -= r.units
+
     def _dequeue(self, r: Request) -> None:
         if r.queued:
             r.volume.lanes[r.shard].line.remove(r)
@@ -594,14 +599,13 @@
             volume.undrawn = max(0.0, volume.undrawn - r.units)
             if volume.plan.limit:
                 volume.store.draw(r.units, self.now)
+                volume.store.away += r.units if self.asked else 0.0
         if r.sent and s.look_back_us:
             self.ration.made(self.now)
         if r.sent and s.further_rate:
             self.further.draw(1.0, self.now)
         self._debit(volume, r.units)
-        if node.born_us is not None:
-            node.cold_sent.add(self.now, r.units)
-            node.cold_level -= r.units
+        self._count_cold(r, node)
         self.flights[r.id, r.sent] = (r, node, self.now)
         node.size = max(node.size, r.size) if node.open else r.size
         self._timer(self.now + self._patience(node), "overdue", (r.id, r.sent))
@@ -652,8 +656,7 @@
         Lost requests or answers would fill a small window until the clients' deadlines, though the
         node serves all else. It does harm where the attempt is only slow: one more is held there.
         """
-        flight = self.flights.get(key)
-        if flight is None:
+        if (flight := self.flights.get(key)) is None:
             return
         r, node = flight[0], flight[1]
         if node.heard_us - flight[2] > node.usual() * r.size:
@@ -760,10 +763,8 @@
         for entry in event.entries:
             self._entry(entry, event.kind)
         if event.kind is not ListKind.PATCH:
-            named = {entry.node for entry in event.entries}
-            for node in self.nodes.values():
-                if node.id not in named and node.condition is not Condition.LEFT:
-                    node.condition = Condition.LEFT
+            for name in self.nodes.keys() - {entry.node for entry in event.entries}:
+                self.nodes[name].condition = Condition.LEFT
         self.shards, self.order = {}, list(self.nodes.values())
         for name, node in list(self.nodes.items()):
             if node.condition is Condition.LEFT and not node.open:
@@ -773,8 +774,7 @@
         self.touched.update(dict.fromkeys(self.rings))
 
     def _entry(self, entry: Entry, kind: ListKind) -> None:
-        node = self.nodes.get(entry.node)
-        if node is None:
+        if (node := self.nodes.get(entry.node)) is None:
             node = self.nodes[entry.node] = Node(entry, self.start)
             if kind is ListKind.PATCH:
                 self._chill(node, entry.started_us or self.now)
--- a/lemonridge/stores.py
+++ b/lemonridge/stores.py
@@ -7,6 +7,8 @@
 from heapq import heappop, heappush
 from math import exp
 
+from lemonridge.api import Entry
+
 NEVER_US = 1 << 62  # a time that does not come
 EPSILON = 1e-6  # keeps sums of fractions below a limit that must not be passed
 USUAL_US = 10_000_000  # memory of a host's usual traffic to a shard: lasting against moving with the lead
@@ -40,13 +42,17 @@
 
     It starts empty: a restart cannot be told from a first start, and killing a host must never mint a fresh
     burst. What it holds at most is an even part for each host, whatever the shares of its rate are: so the
-    sum of what all hosts have saved up is held without a word between them, and only rates move."""
+    sum of what all hosts have saved up is held without a word between them, and only rates move.
+
+    What is drawn may be on its way for a while, and no more is saved up beside it than there is room for: a
+    node counts a request when it comes, and a store that filled up meanwhile would send a whole one more."""
 
-    __slots__ = ("level", "filled_us", "flow", "share", "rate", "top")
+    __slots__ = ("level", "filled_us", "flow", "share", "rate", "top", "away")
 
     def __init__(self, born_us: int, flow: float = 1.0) -> None:
         self.level, self.filled_us, self.flow, self.share = 0.0, born_us, flow, Share(1.0)
         self.rate, self.top = 0.0, -1.0  # no size yet
+        self.away = 0.0  # units on their way
 
     def size(self, now: int, rate: float, top: float, hosts: int, even: bool) -> None:
         """Go by `rate` units a second and `top` units for all of `hosts` from now on; `even` makes the
@@ -61,7 +67,7 @@
         """The level. A store that was handed over has a flow of -1: what was kept ebbs as the successor's
         fills, since a store that is full would else fill on in two places."""
         self.level += self.flow * self.rate * self.share.span(self.filled_us, now) / 1e6
-        self.level, self.filled_us = max(0.0, min(self.top, self.level)), now
+        self.level, self.filled_us = max(0.0, min(self.top - self.away, self.level)), now
         return self.level
 
     def tell(self, since: int, part: float, until_us: int, after: float) -> None:
@@ -73,6 +79,12 @@
         """Take units out, which may leave a debt until it fills again."""
         self.level = self.fill(now) - units
 
+    def arrive(self, units: float, now: int, back: bool) -> None:
+        """Units are on their way no more: they came to a node, or go `back`, as their request never did."""
+        self.fill(now)
+        self.away = max(0.0, self.away - units)
+        self.level += units if back else 0.0
+
     def wait_us(self, units: float, now: int) -> int:
         """How long until the store holds `units`, at the share of now and then at the one after."""
         lack, share = (units + EPSILON - self.fill(now)) * 1e6, self.share
@@ -187,3 +199,25 @@
     def rate(self) -> float:
         """Units a microsecond."""
         return self.units / max(self.span_us, USUAL_US / 10)
+
+
+class Node:
+    """What this host knows of one node."""
+
+    def __init__(self, entry: Entry, window: float) -> None:
+        self.id, self.shard, self.zone = entry.node, entry.shard, entry.zone
+        self.condition = entry.condition
+        self.born_us: int | None = None  # start of a cold spell
+        self.window, self.cut_us, self.rest_us, self.open = window, 0, 0, 0
+        self.held = 0.0  # requests of all hosts there, as last told
+        self.lag, self.dev, self.size = 0.0, 0.0, 1.0  # of a request of mean size; of the largest one out
+        self.quiet_us: int | None = None  # since when something is out and nothing was heard
+        self.probe_us, self.probes, self.unreached = 0, 0, 0
+        self.down_us = 0  # when it was first not reached since its last answer
+        self.heard_us = 0
+        self.cold_sent = Recent()
+        self.cold_level, self.cold_rate, self.cold_us, self.warm = 0.0, 0.0, 0, 1.0
+        self.lent = Share(0.0)  # to this host at a cold node, less what it lent: units a microsecond
+
+    def usual(self) -> float:
+        return self.lag + self.dev  # with its spread
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -23,11 +23,15 @@
     def __init__(self) -> None:
         self.batches: list[list[api.Event]] = []
         self.react: Callable[[api.Event], list[api.Action]] = lambda event: []
+        self.allows = True
 
     def handle(self, _: int, events: list[api.Event]) -> list[api.Action]:
         self.batches.append(events)
         return [action for event in events for action in self.react(event)]
 
+    def begins(self, _: int, __: str, ___: int) -> bool:
+        return self.allows
+
     def of(self, kind: type) -> list[api.Event]:
         return [event for batch in self.batches for event in batch if isinstance(event, kind)]
 
@@ -95,7 +99,7 @@
         hold = asyncio.Event()
 
         async def held(attempt: Attempt) -> Outcome:
-            attempt.reached = True
+            attempt.begun = True
             self.decider.tell(api.Woke())  # upon which the module gives up
             await hold.wait()
             return Outcome(api.Result.OK, b"late")
@@ -115,14 +119,14 @@
         case: dict[str, bool] = {}
 
         async def hang(attempt: Attempt) -> Outcome:
-            attempt.reached = case["reaches"]
+            attempt.begun = case["reaches"]
             if case["cancels"]:
                 self.decider.tell(api.Woke())
             await asyncio.Event().wait()
             raise AssertionError
 
         async def broken(attempt: Attempt) -> Outcome:
-            attempt.reached = case["reaches"]
+            attempt.begun = case["reaches"]
             raise RuntimeError("a fault in the nodes' side")
 
         sent = self.policy.react
@@ -146,11 +150,77 @@
                 ends = [one.result for one in self.policy.of(api.Ended) if one.request == name]
                 self.assertEqual(ends, [result])
 
+    async def test_an_attempt_begins_only_as_the_decisions_say_at_its_first_byte(self) -> None:
+        begun: list[bool] = []
+
+        async def dial(attempt: Attempt) -> Outcome:
+            try:
+                attempt.begin()
+            finally:
+                begun.append(attempt.begun)
+            return Outcome(api.Result.OK, b"")
+
+        self.behave, sent = dial, self.policy.react
+        self.policy.react = lambda event: [api.Fail(event.request, api.Why.OVER)] if (
+            isinstance(event, api.Ended) and not event.finished) else sent(event)
+        for allows, kind, result in (
+            (True, Kind.SERVED, api.Result.OK), (False, Kind.FAILED, api.Result.MOOT),
+        ):  # fmt: skip
+            self.policy.allows = allows
+            self.assertEqual((await self.broker.serve(self.request())).kind, kind)
+            await self.quiet()
+            ended = self.policy.of(api.Ended)[-1]
+            assert isinstance(ended, api.Ended)
+            self.assertEqual((begun.pop(), ended.result, ended.begun), (allows, result, allows))
+
+    async def test_a_client_that_leaves_during_the_dial_ends_it_and_nothing_begins(self) -> None:
+        dialling, came = asyncio.Event(), []
+
+        async def dial(attempt: Attempt) -> Outcome:
+            dialling.set()
+            await asyncio.Event().wait()  # no connection comes
+            came.append(attempt)
+            raise AssertionError
+
+        self.behave = dial
+        serving = asyncio.create_task(self.broker.serve(self.request()))
+        await dialling.wait()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        await self.quiet()
+        ended = [one for one in self.policy.of(api.Ended) if isinstance(one, api.Ended)]
+        self.assertEqual([(one.result, one.begun) for one in ended], [(api.Result.MOOT, False)])
+        self.assertEqual(came, [])
+
+    async def test_a_client_that_left_before_its_order_was_taken_up_is_sent_nowhere(self) -> None:
+        attempts: list[Attempt] = []
+
+        async def behave(attempt: Attempt) -> Outcome:
+            attempts.append(attempt)
+            return Outcome(api.Result.OK, b"")
+
+        def leave(event: api.Event) -> list[api.Action]:
+            if not isinstance(event, api.Woke):
+                return []
+            serving.cancel()  # it leaves in the very turn in which it is told to be sent
+            return [api.Send("r1", "a")]
+
+        self.behave, self.policy.react = behave, leave
+        serving = asyncio.create_task(self.broker.serve(self.request()))
+        while not self.policy.of(api.Arrived):
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)  # its life waits for an order
+        self.decider.tell(api.Woke())
+        await asyncio.gather(serving, return_exceptions=True)
+        await self.quiet()
+        self.assertEqual([one.result for one in self.policy.of(api.Ended)], [api.Result.MOOT])
+        self.assertEqual(attempts, [])
+
     async def test_client_gone_tells_it_once_and_the_attempt_ends_once(self) -> None:
         hold = asyncio.Event()
 
         async def held(attempt: Attempt) -> Outcome:
-            attempt.reached = True
+            attempt.begun = True
             await hold.wait()
             return Outcome(api.Result.OK)
 
@@ -203,7 +273,7 @@
                 return where.pop(0)
 
         async def elsewhere(attempt: Attempt) -> Outcome:
-            attempt.reached = test.flew = way.flying
+            attempt.begun = test.flew = way.flying
             return Outcome(api.Result.MOVED, "elsewhere") if where else Outcome(api.Result.OK, b"x")
 
         def react(event: api.Event) -> list[api.Action]:
@@ -247,7 +317,7 @@
             flying, shard = False, 0
 
         async def gone(attempt: Attempt) -> Outcome:
-            attempt.reached = True
+            attempt.begun = True
             return Outcome(api.Result.MOVED)
 
         self.behave = gone
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from harness import PATIENCE_S, Client, Message, PlatformCase, Server, reply, reset
 
@@ -51,3 +52,91 @@
             read.set()
             rest = await self.client.reader.read()  # to the end of the connection
         self.assertFalse(rest.endswith(b"0\r\n\r\n"))  # without the last chunk
+
+
+class Leaving(CrossingCase):
+    """A client that leaves while its request waits for its first attempt."""
+
+    facts = {"limits": {"connect-timeout-us": 1_900_000}}
+
+    async def hold_the_node(self) -> asyncio.Event:
+        """Keep the node's window full, so that what comes waits in the module."""
+        free = asyncio.Event()
+
+        async def held(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            reply(writer)
+
+        self.node.script = held
+        for _ in range(2):
+            client = await self.connect()
+            client.writer.write(client.text())
+        await self.node.until(lambda: len(self.node.seen) == 2)
+        return free
+
+    async def gone(self, count: int = 1) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while (await self.program.counters()).get("answers.gone", 0) < count:
+                pass
+
+    async def seen_after(self, free: asyncio.Event) -> set[str]:
+        """The ids that the node has seen once a request that came later is answered."""
+        free.set()
+        self.assertEqual((await self.client.ask(X_Request_Id="00000000000000ff")).status, 200)
+        return {message.headers["x-request-id"] for message in self.node.seen}
+
+    async def test_what_waits_in_the_module_is_not_sent_on(self) -> None:
+        free = await self.hold_the_node()
+        for end in ("close", "shutdown"):  # TCP tells neither from the other
+            client = await self.connect()
+            client.writer.write(client.text(X_Request_Id="00000000000000aa"))
+            await self.settled()
+            client.writer.close() if end == "close" else client.writer.write_eof()
+            await self.gone(1 if end == "close" else 2)
+        self.assertNotIn("00000000000000aa", await self.seen_after(free))
+
+    async def test_what_waits_behind_a_reader_that_is_paused_is_not_sent_on(self) -> None:
+        free = await self.hold_the_node()
+        client = await self.connect()
+        client.writer.write(client.text(X_Request_Id="00000000000000aa"))
+        await self.settled()
+        client.writer.write(client.text(X_Request_Id="00000000000000bb") + b"x" * (1 << 20))
+        await self.settled()
+        client.writer.transport.abort()
+        await self.gone()
+        seen = await self.seen_after(free)
+        self.assertFalse({"00000000000000aa", "00000000000000bb"} & seen)
+
+    async def test_what_waits_for_a_connection_to_a_node_is_not_sent_on(self) -> None:
+        with socket.socket() as late:  # its backlog is full: a further connect waits
+            late.bind(("127.0.0.1", 0))
+            late.listen(0)
+            fill = [socket.socket() for _ in range(3)]
+            for one in fill:
+                one.setblocking(False)
+                one.connect_ex(late.getsockname())
+            self.register.set("s-2", late.getsockname()[1], shard=1)
+            await self.program.line("node=s-2")
+            client = await self.connect()
+            client.writer.write(client.text(shard=1, X_Request_Id="00000000000000aa"))
+            async with asyncio.timeout(PATIENCE_S):
+                while (await self.program.counters()).get("connections.opened", 0) < 1:
+                    pass
+            client.writer.close()
+            await self.gone()
+            late.setblocking(False)
+            loop = asyncio.get_running_loop()
+            for one in fill:
+                one.close()
+            async with asyncio.timeout(PATIENCE_S):
+                while (await self.program.counters()).get("attempts.moot", 0) < 1:
+                    pass
+                for _ in fill:  # nothing but these ever came, and none of them says a word
+                    try:
+                        accepted = late.accept()[0]
+                    except BlockingIOError:
+                        break
+                    with accepted:
+                        accepted.setblocking(False)
+                        self.assertEqual(await loop.sock_recv(accepted, 1), b"")
+        self.assertEqual((await self.program.counters()).get("attempts.sent", 0), 0)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1001,3 +1001,81 @@
     rig.policy.now = rig.now
     rig.policy._cold(node)
     assert node.cold_rate == 0.0  # all of its own is lent
+
+
+# Between the decision and the first byte: a connection takes time to make
+
+
+def asked() -> Rig:
+    """A module whose host asks before each first byte; classes that are in no hurry."""
+    classes = tuple(replace(cls, aim_us=20_000_000, deadline_us=20_000_000) for cls in SETTINGS.classes)
+    rig = Rig(replace(SETTINGS, hosts=1, classes=classes))
+    rig.policy.asked = True
+    rig.listed(("a", 0), ("b", 1))
+    rig.now += 10_000_000  # stores are full
+    return rig
+
+
+def test_a_limit_counts_what_comes_when_it_comes() -> None:
+    """What is on its way for a while and then comes at once finds no store that has filled up meanwhile."""
+    rig = asked()
+    for shard in (0, 1):
+        rig.ask(1, shard=shard, plan=1, units=5.0)
+        rig.now += 1_000_000  # time to fill up again
+        rig.policy.volumes[1].store.fill(rig.now)
+    assert [rig.policy.begins(rig.now, name, 0) for name in ("r1", "r2")] == [True, True]
+    store = rig.policy.volumes[1].store
+    assert store.level == pytest.approx(store.top - 10.0)
+    rig.now += 100_000
+    assert store.fill(rig.now) == pytest.approx(store.top - 10.0 + 20.0 * 0.1)  # from here on it fills
+
+
+def test_what_never_came_is_drawn_when_it_is_sent_again() -> None:
+    rig = asked()
+    name = rig.ask(1, plan=1, units=5.0)
+    store = rig.policy.volumes[1].store
+    assert store.level == store.top - 5.0
+
+    def ended(number: int, result: Result, begun: bool) -> float:
+        """The level after the end of an attempt, and another one after that."""
+        rig.do(api.Ended(name, number, "a", result, 0, False, None, None, None, begun))
+        level = store.fill(rig.now)
+        assert number == 2 or sends(rig.pass_time(3_000_000)) == [name]
+        return level
+
+    assert ended(0, Result.UNREACHED, False) == store.top  # as if it had not been sent
+    assert rig.policy.begins(rig.now, name, 1) and store.fill(rig.now) == pytest.approx(store.top - 5.0)
+    assert ended(1, Result.RESET, True) == pytest.approx(store.top - 5.0)
+    assert ended(2, Result.UNREACHED, False) == store.top  # it came before, and filled up since
+    assert rig.policy.volumes[1].undrawn == 0.0
+
+
+def test_a_keyed_repeat_does_not_begin_past_its_window() -> None:
+    rig = asked()
+    name, sent_us = rig.ask(cls=1), rig.now
+    assert rig.policy.begins(rig.now, name, 0)
+    rig.now += 1_500_000
+    actions = rig.end(name, Result.RESET) + rig.pass_time(400_000)
+    assert sends(actions) == [name]
+    window_us = SETTINGS.classes[1].memory_us
+    assert rig.policy.begins(sent_us + window_us - SETTINGS.tick_us, name, 1)
+    assert not rig.policy.begins(sent_us + window_us + 1, name, 1)
+
+
+def test_nothing_begins_for_a_request_that_is_over() -> None:
+    rig = asked()
+    name = rig.ask()
+    assert rig.policy.begins(rig.now, name, 0)
+    rig.do(api.Gone(name))
+    assert not rig.policy.begins(rig.now, name, 0) and not rig.policy.begins(rig.now, "never", 0)
+
+
+def test_a_node_that_turned_cold_meanwhile_is_judged_anew_and_counted() -> None:
+    rig = asked()
+    first, second = rig.ask(units=8.0), rig.ask(2, units=8.0)
+    rig.listed(("a", 0, Condition.ACTIVE, rig.now), kind=ListKind.PATCH)
+    node = rig.policy.nodes["a"]
+    assert node.cold_sent.units == 0.0
+    assert rig.policy.begins(rig.now, first, 0) and node.cold_sent.units == 8.0
+    assert rig.policy.begins(rig.now, first, 0) and node.cold_sent.units == 8.0  # counted once
+    assert not rig.policy.begins(rig.now, second, 0)
