Serve what crosses the closing of a client's connection, and linger before the close

At fault: Room.close_waiting and _sweep (net/http_connection.py) closed without a look at the socket, HttpFront.stop closed the listener over its backlog, aiohttp's handler closes at once. asyncio's own server also drops what it accepted in the turn in which it closes. TCP_NODELAY was checked: asyncio sets it on every stream, so no small write is held back.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -27,7 +27,8 @@
 ROOMY = 1 / 8  # of the sockets: with no more clients than that there is room
 TIGHT = 0.25  # of the sockets: past it a new one takes the place of one that can be spared
 SHARE = 0.5  # of the sockets: more are not held; the rest is for the nodes
-LINGER_S = 0.5  # for an early answer to reach a client that still sends
+LINGER_S = 0.5  # from the end of what is sent to a client to the close: it reads that, and ends its side
+SPEAK_S = 0.1  # for a connection that came just before the end to bring its request
 UNTAKEN_S = 5.0  # how long a client may leave its answer unread
 SWEEP_S = 0.25
 LOOKED_AT = 8  # of a state, for one that can be spared: a crowd must not cost a look at all of it
@@ -106,43 +107,79 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is open."""
-        return bool(self._states[State.BUSY])
+        """Whether a request is open, or an answer may still be on its way."""
+        return bool(self._states[State.BUSY] or self._states[State.LEAVING])
 
     def changed(self) -> None:
         """The life's state has changed: look again at once when connections are to be closed."""
         self._timer.cancel()
         self._sweep()
 
-    def close_waiting(self) -> None:
-        """End every connection that has no open request."""
-        for state in SPARED_S:
-            for connection in list(self._states[state]):
-                connection.close()
+    def close_waiting(self, patient: bool) -> bool:
+        """End the connections that have no open request and on which nothing waits to be read; whether some
+        are left. To be `patient` lets what has begun become whole, and who has just come speak."""
+        now, left = self._loop.time(), False
+        for state in (State.FRESH, State.PARTIAL, State.IDLE):
+            for connection, since in list(self._states[state].items()):
+                speaks = state is State.PARTIAL or (state is State.FRESH and since > now - SPEAK_S)
+                if (patient and speaks) or not connection.quiet():
+                    left = True
+                else:
+                    connection.close()
+        return left
 
     def _sweep(self) -> None:
         """End what has waited for too long."""
         now = self._loop.time()
         self._timer = self._loop.call_at(now + SWEEP_S, self._sweep)
         if self.clock.now_us() >= self.life.closes_us:
-            self.close_waiting()
+            self.close_waiting(patient=True)
         keep = KEEP_S if len(self) <= self._sockets * ROOMY else WAIT_S
         for connection in list(self._states[State.PARTIAL]):
-            if connection.patience_at < now:
+            spent = connection.patience_at < now and connection.quiet()
+            if spent or connection.patience_at < now - SWEEP_S:
                 self.counters["clients.expired"] += 1
                 connection.close()
         for state, limit in ((State.LEAVING, LINGER_S), (State.FRESH, WAIT_S), (State.IDLE, keep)):
             for connection, since in list(self._states[state].items()):
                 if since > now - limit:
                     break
-                self.counters["clients.expired"] += 1
-                connection.abort() if state is State.LEAVING else connection.close()
+                if state is State.LEAVING:
+                    connection.abort()
+                elif connection.quiet():  # else its next request crosses this end: it is served
+                    self.counters["clients.expired"] += 1
+                    connection.close()
         for connection in list(self._states[State.BUSY]):
             if connection.stuck_at is not None and connection.stuck_at < now - UNTAKEN_S:
                 self.counters["clients.expired"] += 1
                 connection.abort()
 
 
+class Ending(asyncio.Transport):
+    """A connection's transport as aiohttp's handler has it: it ends as the connection says."""
+
+    def __init__(self, connection: Connection, transport: asyncio.Transport) -> None:
+        super().__init__()
+        self._connection, self._transport = connection, transport
+        self.write, self.writelines = transport.write, transport.writelines  # type: ignore[method-assign]
+        self.is_closing = transport.is_closing  # type: ignore[method-assign]
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return self._transport.get_extra_info(name, default)
+
+    def pause_reading(self) -> None:
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        self._transport.resume_reading()
+
+    def abort(self) -> None:
+        self._connection.abort()
+
+    def close(self) -> None:
+        self._connection.close()
+
+
 class Connection(asyncio.Protocol):
     """One client's connection, between its socket and aiohttp's handler."""
 
@@ -157,7 +194,7 @@
         self._promised = 0  # bytes of its body
         self.body = b""  # of the open request
         self.patience_at = 0.0  # until when the request that has begun may take, on the loop's clock
-        self._over = self._paused = False
+        self._over = self._paused = self._ending = False
         self.state: State | None = None  # the room keeps it
         self.late = room.life.phase is Phase.STOPPING  # it came when the program was to end: it is not kept
         self.arrived_us = 0  # when the last byte of the open request came
@@ -240,7 +277,7 @@
         body = f"{text}\n".encode()
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
         self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
-        self._over = True
+        self._over = self._ending = True
         if status != HTTPStatus.SERVICE_UNAVAILABLE:  # who may come back is read from, to have its answer
             self._transport.pause_reading()
         self._transport.write_eof()
@@ -251,17 +288,23 @@
         return self._transport.is_closing() or quiet(self._transport)
 
     def close(self) -> None:
-        self._leave()
-        self._transport.close()
+        """Take nothing more, end what is sent, and close once the client has ended its side too: a close over
+        bytes that are not read resets the connection, and the last answer may go with it (RFC 9112, 9.6)."""
+        self._over = True
+        if self._ending or self._transport.is_closing():
+            return
+        self._ending = True
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()  # to be dropped
+        self._room.move(self, State.LEAVING)
+        self._transport.write_eof()
 
     def abort(self) -> None:
-        self._leave()
-        self._transport.abort()
-
-    def _leave(self) -> None:
         """It counts no more, though the loop tells of its end a turn later only."""
         self._over = True
         self._room.move(self, None)
+        self._transport.abort()
 
     def _next(self) -> None:
         """Hand over the next request, once it is whole."""
@@ -281,7 +324,7 @@
         if self._handler is None:
             self._handler = self._server()
             self._by_handler[self._handler] = self
-            self._handler.connection_made(self._transport)
+            self._handler.connection_made(Ending(self, self._transport))
         self._room.move(self, State.BUSY)
         self._handler.data_received(message)
 
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -32,6 +32,8 @@
 MARGIN_US = 10_000  # before the client gives up: the way of the request here and of the answer back
 BACKLOG = 1024  # connections that wait to be accepted
 ACCEPTS = 16  # in one turn of the loop: more would pass the limit on sockets before room is made
+AGAIN_S = 0.05  # before it is tried again to accept, where the system could not
+TURN_S = 0.005  # between two looks at connections that are to end
 HEX = re.compile(r"[0-9a-f]{16}", re.I)
 PATH = re.compile(r"/([^/]+)/([0-9a-f]{16})/([0-9a-f]{16})", re.I)
 PLACEMENT = re.compile(r"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),shard=(-1|[0-9]{1,9}),hosts=([0-9]{1,9})")
@@ -49,7 +51,8 @@
         self._room = Room(clock, counters, life)
         self.configure(platform)
         self._socket: socket.socket | None = None
-        self._listener: asyncio.Server | None = None
+        self._listening: socket.socket | None = None
+        self._accepting: set[asyncio.Task[object]] = set()  # connections that the loop does not have yet
         self._connections: dict[object, Connection] = {}  # by aiohttp's handler
         self._scopes: dict[asyncio.Timeout, int] = {}  # of the open requests, with the time that each came
         self._server = web.Server(self._handle, request_factory=_request, handler_cancellation=True,
@@ -81,25 +84,59 @@
     async def listen(self) -> None:
         """Take what comes from here on. A copy of the descriptor is listened at, so that to end it ends
         nothing for another process at the same socket."""
-        if self._listener is not None:
+        if self._listening is not None:
             return
         assert self._socket is not None
-        self._listener = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self._room, self._server, self._connections), sock=self._socket.dup(),
-            backlog=ACCEPTS)
-        self._socket.listen(BACKLOG)
+        self._listening = self._socket.dup()
+        self._listening.setblocking(False)
+        self._listening.listen(BACKLOG)
+        asyncio.get_running_loop().add_reader(self._listening, self._accept)
         log.info("listening", extra={"address": "{}:{}".format(*self._socket.getsockname())})
 
+    def _accept(self) -> bool:
+        """Take some of the connections that wait; whether there may be more. What is taken here is served,
+        even if nothing is taken from the next moment on."""
+        loop, listening = asyncio.get_running_loop(), self._listening
+        assert listening is not None
+        for _ in range(ACCEPTS):
+            try:
+                accepted, _ = listening.accept()
+            except (BlockingIOError, InterruptedError):
+                return False
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:  # no descriptor, or no memory: it is tried again soon
+                log.warning("nothing accepted", extra={"error": str(error)})
+                loop.remove_reader(listening)
+                loop.call_later(AGAIN_S, self._accept_again, listening)
+                return False
+            accepted.setblocking(False)
+            making = loop.create_task(loop.connect_accepted_socket(
+                lambda: Connection(self._room, self._server, self._connections), accepted))
+            self._accepting.add(making)
+            making.add_done_callback(self._accepted)
+        return True
+
+    def _accept_again(self, listening: socket.socket) -> None:
+        if listening is self._listening:
+            asyncio.get_running_loop().add_reader(listening, self._accept)
+
+    def _accepted(self, making: asyncio.Task[object]) -> None:
+        self._accepting.discard(making)
+        if not making.cancelled() and (error := making.exception()) is not None:
+            log.info("connection lost at its start", extra={"error": f"{type(error).__name__}: {error}"})
+
     @property
     def listens(self) -> bool:
         """Whether new connections are taken."""
-        return self._listener is not None
+        return self._listening is not None
 
     def deafen(self) -> None:
         """Take no new connection; those that are there stay."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        if self._listening is not None:
+            asyncio.get_running_loop().remove_reader(self._listening)
+            self._listening.close()
+            self._listening = None
 
     async def stop(self) -> None:
         """Serve on for as long as what is taken can be answered before SIGKILL: clients keep the connections
@@ -107,11 +144,16 @@
         then take no more, and keep no idle connection. A new connection is told to close from the start."""
         self._life.stop(self._clock.now_us())
         self.changed()
+        loop = asyncio.get_running_loop()
         await asyncio.sleep((self._life.ends_us - self._clock.now_us()) / 1e6)
+        while self._listening is not None and self._accept():
+            pass  # what waits at the door has come; the system would reset it
         self.deafen()
         if self._socket is not None:
             self._socket.close()
-        self._room.close_waiting()
+        until_s = self._clock.loop_time(self._life.whole_by_us)
+        while self._accepting or self._room.close_waiting(patient=loop.time() < until_s):
+            await asyncio.sleep(TURN_S)
 
     def changed(self) -> None:
         """Go by a change of the life's state at once."""
--- a/lemonridge/operate/life.py
+++ b/lemonridge/operate/life.py
@@ -137,6 +137,11 @@
         """When nothing new is taken any more."""
         return FAR_US if self._stopped_us is None else self._stopped_us + max(0, self._whole_us - LAST_US)
 
+    @property
+    def whole_by_us(self) -> int:
+        """By when a request that had begun at the end must be whole: half of the rest is for its answer."""
+        return FAR_US if self._stopped_us is None else self.ends_us + LAST_US // 2
+
     def due(self, arrived_us: int) -> int:
         """By when a request that came then must have its answer, whatever its own deadline."""
         due = FAR_US
