Wait for the line of a failed handover in its test, which a slow reader missed

The test looked at the lines that had been read so far, while the program's log comes through a pipe; now it waits for the line, as strictly.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -218,7 +218,7 @@
 
                 server = await asyncio.start_unix_server(odd, str(path))
                 self.program, _ = await self.follow()
-                self.assertTrue(any("nothing taken over" in line for line in self.program.lines))
+                await self.program.line("nothing taken over")
                 self.assertEqual((await (await self.connect()).ask()).status, 200)
                 server.close()
 
