Keep a limit's units on their way until an answer shows that they came

Seen by reading the life of a limit's units, then forced in the module: ten requests that a silent node had been sent are sent again once the store has filled up, beside ten fresh ones: 80 units at one moment where the store holds 44. On sockets a request takes its units when its last byte has come to a node; what a node that vanished was sent, or what was reset while it came, never did, and comes with its repeat only. A connect that takes long was mended before (the units go back when nothing began); restarts are ruled out, since a store starts empty. At fault: Scheduler.begins, which took the first byte for the coming of the request, and so _ended for a later attempt. Change: units stay beside the store (`Store.away`) until an outcome that proves that they came, or the end of the request; none are given back once an attempt may have come. What is saved and what is on its way never pass the host's part together. Tests: four in test_policy.py fail without it (80 units of 44; undrawn 5.0), two of them stood before and held the first byte for the coming: they ask for more now, that nothing fills up before the answer.

--- a/lemonridge/policy.py
+++ b/lemonridge/policy.py
@@ -56,7 +56,7 @@
 
     __slots__ = (
         "id", "size", "shard", "volume", "deadline", "due", "key", "cls", "units", "sent", "open", "ran_us",
-        "ran_node", "drawn", "come", "spell", "done", "started", "queued",
+        "ran_node", "drawn", "come", "unsure", "spell", "done", "started", "queued",
     )  # fmt: skip
 
     def __init__(self, event: Arrived, cls: ClassInfo, volume: Volume, due: int) -> None:
@@ -68,7 +68,7 @@
         self.open: Node | None = None  # the node of the attempt in flight; never two at once
         self.ran_us = 0  # when the first attempt that may have run was sent
         self.ran_node: Node | None = None
-        self.drawn = self.come = self.done = self.started = self.queued = False
+        self.drawn = self.come = self.unsure = self.done = self.started = self.queued = False
         self.spell: int | None = None  # the cold one in which its last attempt is counted
 
 
@@ -298,7 +298,10 @@
         self.lost.discard(key)
         self._observe(node, event, r, sent_us)
         if r.drawn and not r.come:
-            self._come(r, event.result is not Result.MOOT and event.begun)
+            never = event.result is Result.MOOT or not event.begun
+            r.unsure = r.unsure if never else event.result in UNSURE
+            if not r.unsure or event.finished or r.done:
+                self._come(r, r.unsure or not never)
         if event.result not in UNRUN and r.ran_node is None:
             r.ran_node, r.ran_us = node, sent_us
         if event.result in UNSURE and r.key is not None:
@@ -436,6 +439,8 @@
             self.requests.pop(r.id, None)
             if not r.drawn:
                 r.volume.undrawn = max(0.0, r.volume.undrawn - r.units)
+            elif not r.come and r.open is None:
+                self._come(r, True)
             v, usual = r.volume, self.usual[r.shard]
             rate = v.plan.base_rate
             part = v.regular.inside(r.units, self.now, rate, v.settings.units_top + CREDIT_S * rate)
@@ -568,23 +573,16 @@
         if self._cold(node) and node.born_us != r.spell:  # it began meanwhile
             if self._cold_wait(node, r):
                 return False
-            self._count_cold(r, node)
-        if r.drawn and not r.come:
-            self._come(r, True)
+            r.spell = node.count(self.now, r.units)
         return True
 
     def _come(self, r: Request, came: bool) -> None:
-        """A limit counts what comes to a node: what never did is drawn anew, if it is sent again."""
+        """A limit counts what comes to a node: what never did is drawn anew, if it is sent again. What nobody
+        can say of is on its way until its end, as its repeat may be the first to come."""
         r.come = r.drawn = came
-        r.volume.undrawn += 0.0 if came else r.units
+        r.volume.undrawn += 0.0 if came or r.done else r.units
         r.volume.store.arrive(r.units, self.now, not came)
 
-    def _count_cold(self, r: Request, node: Node) -> None:
-        r.spell = node.born_us
-        if node.born_us is not None:
-            node.cold_sent.add(self.now, r.units)
-            node.cold_level -= r.units
-
     def _dequeue(self, r: Request) -> None:
         if r.queued:
             r.volume.lanes[r.shard].line.remove(r)
@@ -605,7 +603,7 @@
         if r.sent and s.further_rate:
             self.further.draw(1.0, self.now)
         self._debit(volume, r.units)
-        self._count_cold(r, node)
+        r.spell = node.count(self.now, r.units)
         self.flights[r.id, r.sent] = (r, node, self.now)
         node.size = max(node.size, r.size) if node.open else r.size
         self._timer(self.now + self._patience(node), "overdue", (r.id, r.sent))
--- a/lemonridge/stores.py
+++ b/lemonridge/stores.py
@@ -45,7 +45,10 @@
     sum of what all hosts have saved up is held without a word between them, and only rates move.
 
     What is drawn may be on its way for a while, and no more is saved up beside it than there is room for: a
-    node counts a request when it comes, and a store that filled up meanwhile would send a whole one more."""
+    node counts a request when it comes, and a store that filled up meanwhile would send a whole one more. It
+    is on its way until an answer shows that it came, or its request is over: what a silent node was sent may
+    come with its repeat only. So what is saved and what is on its way never pass this host's part together,
+    and the parts of all hosts never pass the whole, whenever each of them comes."""
 
     __slots__ = ("level", "filled_us", "flow", "share", "rate", "top", "away")
 
@@ -221,3 +224,10 @@
 
     def usual(self) -> float:
         return self.lag + self.dev  # with its spread
+
+    def count(self, now: int, units: float) -> int | None:
+        """Count what it is sent while it is cold; the start of that spell, None where it is warm."""
+        if self.born_us is not None:
+            self.cold_sent.add(now, units)
+            self.cold_level -= units
+        return self.born_us
