--- a/lemonridge/net/http_answer.py
+++ b/lemonridge/net/http_answer.py
@@ -11,7 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from lemonridge.net import heads
-from lemonridge.net.wire import BODY_MAX, LONG_MAX
+from lemonridge.net.wire import BODY_MAX, LONG_MAX, BrokenError
 
 log = logging.getLogger(__name__)
 
@@ -20,11 +20,6 @@
 STALL_S = 10.0  # a node that sends nothing more of a long answer for so long is lost
 
 
-class BrokenError(aiohttp.ClientError):
-    """A connection broke, or brought what is no answer. Not one of the errors after which aiohttp sends a
-    request again."""
-
-
 class AnswerReader(ResponseHandler):
     """The reading end of a connection to a node, in front of aiohttp's parser.
 
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -22,9 +22,9 @@
 from lemonridge.core.model import Answer, DuplicateError, Kind, Request
 from lemonridge.counters import Counters
 from lemonridge.net.heads import BadMessageError
-from lemonridge.net.http_answer import BrokenError, LongAnswer
+from lemonridge.net.http_answer import LongAnswer
 from lemonridge.net.http_connection import Connection, Room
-from lemonridge.net.wire import Payload
+from lemonridge.net.wire import BrokenError, Payload
 from lemonridge.operate.life import FAR_US, Life
 
 log = logging.getLogger(__name__)
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -20,7 +20,7 @@
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
 from lemonridge.counters import Counters
-from lemonridge.net.http_answer import AnswerReader, BrokenError, LongAnswer, gather
+from lemonridge.net.http_answer import AnswerReader, LongAnswer, gather
 from lemonridge.net.wire import Payload, quiet, session
 
 BUFFER = 16 * 1024  # of an answer, half of what is held before its connection is read no more
@@ -29,20 +29,6 @@
 RETIRE = 0.9  # of the time after which a node closes an idle connection: a later request is a reset
 
 
-async def _once(request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType) -> aiohttp.ClientResponse:
-    """Let a request reach a node once.
-
-    Guards against aiohttp's own resend: when a reused connection breaks it repeats GET, PUT and
-    others without a word, an attempt that no one has decided on.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise BrokenError(str(error)) from error
-
-
 class _Connector(aiohttp.TCPConnector):
     """Connections to nodes: the latest used is reused first, and a connect has a deadline of its own."""
 
@@ -126,8 +112,7 @@
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._before_first_byte)
         self._connector = _Connector(connect_us, keepalive_us, counters)
-        self._session = session(self._connector, middlewares=(_once,), trace_configs=[trace],
-                                read_bufsize=BUFFER)  # fmt: skip
+        self._session = session(self._connector, trace_configs=[trace], read_bufsize=BUFFER)
 
     def configure(self, connect_us: int, keepalive_us: int) -> None:
         """New limits, for the connects and the reuses to come."""
--- a/lemonridge/net/wire.py
+++ b/lemonridge/net/wire.py
@@ -39,11 +39,31 @@
     return bool(poll.poll(0))
 
 
+class BrokenError(aiohttp.ClientError):
+    """A connection broke, or brought what is no answer. Not one of the errors after which aiohttp sends a
+    request again."""
+
+
+async def _once(request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType) -> aiohttp.ClientResponse:
+    """Let a request reach a server once.
+
+    Guards against aiohttp's own resend: when a reused connection breaks it repeats GET, PUT and others
+    without a word: an attempt that no one has decided on, or a watch where the list is wanted at once.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise BrokenError(str(error)) from error
+
+
 def session(connector: aiohttp.BaseConnector, **options: object) -> aiohttp.ClientSession:
-    """A client that does nothing of its own: it keeps no cookies, asks no proxy, adds no header,
-    decompresses nothing and knows no time-out, since every deadline is the caller's."""
+    """A client that does nothing of its own: it sends nothing twice, keeps no cookies, asks no proxy, adds no
+    header, decompresses nothing and knows no time-out, since every deadline is the caller's."""
     return aiohttp.ClientSession(
         connector=connector,
+        middlewares=(_once,),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, connect=None, sock_read=None, sock_connect=None),
         trust_env=False,
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
 import json
 import os
+import re
 import signal
 import socket
 import struct
@@ -128,33 +130,59 @@
 
 
 class Register:
-    """Discovery's stand-in: the whole list, and watches that end with each change."""
+    """Discovery's stand-in: the whole list, and watches that end with a change or with their wait."""
 
     def __init__(self) -> None:
-        self.seq, self.rows, self.last = 1, {}, {}
-        self.changed = asyncio.Event()
+        self.seq, self.rows = 1, {}
+        self.told_by: dict[str, int] = {}  # the version that each row came with
+        self.changed = asyncio.Condition()
         self.broken: list[bytes] = []  # answered first, as they are
+        self.silent = False  # calls that come now are never answered
+        self.muted: list[asyncio.StreamWriter] = []  # the connections of those
+        self.watches = 0  # open ones that will be answered
 
     async def script(self, server: Server, message: Message, writer: asyncio.StreamWriter) -> None:
-        if self.broken:
+        if self.silent:
+            self.muted.append(writer)
+        elif self.broken:
             writer.write(self.broken.pop(0))
-        elif "after=" not in message.start:
-            self.changed.clear()  # the whole list tells it
+        elif (watch := re.search(r"after=([0-9]+)&wait_ms=([0-9]+)", message.start)) is None:
             reply(writer, self.answer(True, list(self.rows.values())))
         else:
-            await self.changed.wait()
-            self.changed.clear()
-            reply(writer, self.answer(False, [self.last]))
+            after, wait_s = int(watch[1]), int(watch[2]) / 1000
+            self.watches += 1
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s), self.changed:
+                    await self.changed.wait_for(lambda: self.silent or self.seq > after)
+            self.watches -= 1
+            if self.silent:  # it fell silent under the watch
+                self.muted.append(writer)
+                await self.wake()
+                return
+            reply(writer, self.answer(False, [row for host, row in self.rows.items()
+                                              if self.told_by[host] > after]))
 
-    def answer(self, whole: bool, hosts: list[Any]) -> bytes:
-        return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
+    def answer(self, whole: bool, hosts: list[Any], **layout: Any) -> bytes:
+        return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}, **layout).encode()
 
     def set(self, host: str, port: int, shard: int = 0, health: str = "up", born_ms: int = 0) -> None:
-        self.last = {"host": host, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m", "block": shard,
-                     "health": health, "share": 1.0, "born_ms": born_ms}
-        self.rows[host] = self.last
         self.seq += 1
-        self.changed.set()
+        self.rows[host] = {"host": host, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m",
+                           "block": shard, "health": health, "share": 1.0, "born_ms": born_ms}
+        self.told_by[host] = self.seq
+        self.wakes = asyncio.get_running_loop().create_task(self.wake())
+
+    async def wake(self) -> None:
+        """Open watches look again."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def fall_silent(self) -> None:
+        """Say nothing from now on, on the open watches neither, and without an end of a connection."""
+        self.silent = True
+        await self.wake()
+        async with self.changed:
+            await self.changed.wait_for(lambda: not self.watches)
 
 
 def free_port() -> int:
