Cut no answer short that a slow client is still being sent, and hold no small write back

Seen by reading the closes again and forced in the front alone: a connection that has its last answer is aborted half a second later, also while a part of that answer still waits for a slow client; and to make room, a connection that rests or leaves is aborted the same way. Up to 64 KiB of an answer wait there without the handler knowing, so the client had a part of it only. A refusal of the first bytes is one write and ends the connection, so nothing was lost by it so far. At fault: Room._sweep and Room.admit (net/http_connection.py), HttpFront._accept (net/http_front.py). Change: what leaves with bytes that the system has not taken stays, up to the 5 s that a client may leave its answer unread, and has its moment behind that; nothing with such bytes makes room; an accepted socket gets TCP_NODELAY at once. Tests: five in test_closing.py. Without the two conditions two fail (the answer is cut; TimeoutError where the other is evicted), without the option the test of small writes fails. One keeps that a client which never reads is given up.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -96,7 +96,7 @@
             for longest, since in itertools.islice(self._states[state].items(), LOOKED_AT):
                 if since >= now - age:
                     break
-                if longest.quiet():
+                if longest.quiet() and not longest.unsent:
                     self.counters["clients.evicted"] += 1
                     self.counters[f"clients.evicted.{state.name.lower()}"] += 1
                     longest.abort()
@@ -144,7 +144,9 @@
             for connection, since in list(self._states[state].items()):
                 if since > now - limit:
                     break
-                if state is State.LEAVING:
+                if state is State.LEAVING and connection.unsent and connection.left_at > now - UNTAKEN_S:
+                    self.move(connection, State.LEAVING)  # its client is slow: it has its moment behind that
+                elif state is State.LEAVING:
                     connection.abort()
                 elif connection.quiet():  # else its next request crosses this end: it is served
                     self.counters["clients.expired"] += 1
@@ -199,6 +201,7 @@
         self.late = room.life.phase is Phase.STOPPING  # it came when the program was to end: it is not kept
         self.arrived_us = 0  # when the last byte of the open request came
         self.stuck_at: float | None = None  # since when the client has not taken what is written
+        self.left_at = 0.0  # when its last answer was given up to the system, on the loop's clock
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -278,6 +281,7 @@
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
         self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
         self._over = self._ending = True
+        self.left_at = asyncio.get_running_loop().time()
         if status != HTTPStatus.SERVICE_UNAVAILABLE:  # who may come back is read from, to have its answer
             self._transport.pause_reading()
         self._transport.write_eof()
@@ -287,13 +291,19 @@
         """Whether nothing waits to be read; to end the connection then loses no request unread."""
         return self._transport.is_closing() or quiet(self._transport)
 
+    @property
+    def unsent(self) -> bool:
+        """Whether the system has not taken all that is written: to abort the connection now would cut an
+        answer short."""
+        return self._transport.get_write_buffer_size() > 0
+
     def close(self) -> None:
         """Take nothing more, end what is sent, and close once the client has ended its side too: a close over
         bytes that are not read resets the connection, and the last answer may go with it (RFC 9112, 9.6)."""
         self._over = True
         if self._ending or self._transport.is_closing():
             return
-        self._ending = True
+        self._ending, self.left_at = True, asyncio.get_running_loop().time()
         if self._paused:
             self._paused = False
             self._transport.resume_reading()  # to be dropped
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -111,6 +111,9 @@
                 loop.call_later(AGAIN_S, self._accept_again, listening)
                 return False
             accepted.setblocking(False)
+            # asyncio does it for sockets that say they are TCP's, and an accepted one says what its listener
+            # was made with. What the system still held back of an answer would go with a reset.
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             making = loop.create_task(loop.connect_accepted_socket(
                 lambda: Connection(self._room, self._server, self._connections), accepted))
             self._accepting.add(making)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -16,6 +16,7 @@
 from lemonridge.core.clock import Clock
 from lemonridge.core.model import Answer, Kind, Request
 from lemonridge.counters import Counters
+from lemonridge.net.http_connection import State
 from lemonridge.net.http_front import HttpFront
 from lemonridge.operate.life import Life
 
@@ -32,10 +33,10 @@
         path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
                                     "settings": FACTS}))  # fmt: skip
         platform = config.load({"ROUTER_CONFIG": str(path)})
-        clock, self.life = Clock(asyncio.get_running_loop()), Life(SHORT_US)
+        self.clock, self.life = Clock(asyncio.get_running_loop()), Life(SHORT_US)
         self.taken: list[str] = []
         self.before_answer: Callable[[], object] = lambda: None
-        self.front = HttpFront(platform, self, self, clock, Counters(), self.life)  # type: ignore[arg-type]
+        self.front = HttpFront(platform, self, self, self.clock, Counters(), self.life)  # type: ignore[arg-type]
         self.life.configure(SHORT_US)
         self.front.bind(platform.listen)
         await self.front.listen()
@@ -50,16 +51,30 @@
         """The broker's part."""
         self.taken.append(request.ident)
         self.before_answer()
-        return Answer(Kind.SERVED, b"data")
-
-    def knock(self) -> socket.socket:
-        """A client's connection, which the front has not accepted before the next turn of the loop."""
-        assert self.front._socket is not None
-        client = socket.create_connection(self.front._socket.getsockname(), PATIENCE_S)
+        return Answer(Kind.SERVED, self.data)
+
+    data = b"data"
+
+    def knock(self, buffer: int | None = None) -> socket.socket:
+        """A client's connection, which the front has not accepted before the next turn of the loop; with so
+        many bytes that the system takes of an answer before the client reads."""
+        assert self.front._socket is not None and self.front._listening is not None
+        client = socket.socket()
+        client.settimeout(PATIENCE_S)
+        if buffer is not None:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+            self.front._listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer)
+        client.connect(self.front._socket.getsockname())
         client.setblocking(False)
         self.addCleanup(client.close)
         return client
 
+    def age(self, seconds: float) -> None:
+        """All that the front's connections did was so much longer ago."""
+        for states in self.front._room._states:
+            for connection in states:
+                states[connection] -= seconds
+
     async def read(self, client: socket.socket, until: bytes = b"data") -> bytes:
         """What comes up to these bytes, or to the end."""
         data = b""
@@ -90,8 +105,7 @@
 
     async def test_a_request_that_comes_as_its_connection_expires_is_served(self) -> None:
         client = await self.resting()
-        for connection, states in [(one, rows) for rows in self.front._room._states for one in rows]:
-            states[connection] -= 60.0  # it has rested for long
+        self.age(60.0)
         client.send(self.text())
         self.front._room._sweep()
         self.assertIn(b"200 OK", await self.read(client))
@@ -144,3 +158,72 @@
         while self.front.busy:
             await asyncio.sleep(0)
         self.assertEqual(len(self.taken), 1)
+
+    async def slow(self, **changes: str) -> socket.socket:
+        """A client that has not read its answer yet, of which the system does not take all."""
+        self.data = b"x" * 60_000 + b"data"
+        client = self.knock(buffer=4096)
+        client.send(self.text(**changes))
+        async with asyncio.timeout(PATIENCE_S):
+            while not any(one.unsent for states in self.front._room._states for one in states):
+                await asyncio.sleep(0)
+            while self.front._room._states[State.BUSY]:
+                await asyncio.sleep(0)
+        return client
+
+    async def test_a_slow_client_has_its_last_answer_whole(self) -> None:
+        client = await self.slow(Connection="close")
+        self.age(1.0)
+        self.front._room._sweep()
+        self.assertTrue((await self.read(client, b"")).endswith(b"data"))
+
+    async def test_a_client_that_never_reads_its_last_answer_is_given_up(self) -> None:
+        client = await self.slow(Connection="close")
+        for one in self.front._room._states[State.LEAVING]:
+            one.left_at -= 60.0
+        self.age(60.0)
+        self.front._room._sweep()
+        self.assertFalse(self.front.busy)
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.get_running_loop().sock_sendall(client, b"x")
+            await self.read(client, b"")
+
+    async def test_room_for_a_new_client_is_not_made_by_cutting_an_answer_short(self) -> None:
+        for changes in ({}, {"Connection": "close"}):
+            client = await self.slow(**changes)
+            self.age(60.0)
+            self.front._room.configure(4, 1 << 20)  # one is room enough
+            other = self.knock()
+            async with asyncio.timeout(PATIENCE_S):
+                while len(self.front._room) < 2:
+                    await asyncio.sleep(0)
+            self.assertTrue((await self.read(client)).endswith(b"data"))
+            for one in (client, other):
+                one.close()
+            async with asyncio.timeout(PATIENCE_S):
+                while len(self.front._room):
+                    await asyncio.sleep(0)
+
+    async def test_what_is_accepted_in_the_turn_of_a_handover_is_served(self) -> None:
+        client = self.knock()
+        client.send(self.text())
+        self.front._accept()
+        self.front.deafen()  # as a handover does, with the life's state in the same step
+        self.life.hand(self.clock.now_us())
+        self.front.changed()
+        answer = await self.read(client, b"")
+        self.assertIn(b"200 OK", answer)
+        self.assertIn(b"connection: close", answer.lower())
+
+    async def test_small_writes_are_not_held_back(self) -> None:
+        await self.resting()
+        (connection,) = self.front._room._states[State.IDLE]
+        made = connection._transport.get_extra_info("socket")
+        self.assertTrue(made.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        self.knock()
+        async with asyncio.timeout(PATIENCE_S):
+            while not self.front._room._states[State.FRESH]:
+                await asyncio.sleep(0)
+        (connection,) = self.front._room._states[State.FRESH]
+        made = connection._transport.get_extra_info("socket")
+        self.assertTrue(made.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))  # before its first answer
