Drop what is not written yet of an attempt that is given up

Seen on loopback: a node takes no more than the system holds of a request of 20 MiB; at its deadline the client is answered, the broker closes the connection, and the node that reads on later gets all 20,971,520 bytes. An attempt counts once its last byte has come, so a write that was given up runs behind its answer, or beside the next attempt. Checked: bodies that the system takes whole at once are not touched by it, and a connection that is reset drops them with it. At fault: aiohttp's ResponseHandler.close, which lets asyncio write on what waits behind a close. Change: AnswerReader.close aborts the connection where something is unsent. Test: test_what_is_not_written_yet_of_an_attempt_is_dropped fails without it (the whole request comes).

--- a/lemonridge/net/http_answer.py
+++ b/lemonridge/net/http_answer.py
@@ -88,6 +88,13 @@
             raise heads.BadMessageError(502, "the head is too long")
         return b""
 
+    def close(self) -> None:
+        """End the connection. What of a request the system has not taken yet is dropped: else a node that
+        reads on would get the whole of an attempt that was given up, beside the next or after the answer."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.abort()
+        super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         if exc is not None and self._until_end:
             error = BrokenError("cut short")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 import socket
@@ -57,6 +58,34 @@
         self.assertFalse(rest.endswith(b"0\r\n\r\n"))  # without the last chunk
 
 
+class GivenUp(CrossingCase):
+    """An attempt that ends while its request is still being written."""
+
+    async def test_what_is_not_written_yet_of_an_attempt_is_dropped(self) -> None:
+        free, ended, count = asyncio.Event(), asyncio.Event(), 0
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal count
+            await free.wait()  # it takes no more than the system does
+            with contextlib.suppress(ConnectionError):
+                while part := await reader.read(1 << 20):
+                    count += len(part)
+            writer.close()
+            ended.set()
+
+        node = await asyncio.start_server(hang, "127.0.0.1", 0, limit=1 << 12)
+        self.addCleanup(node.close)
+        self.register.set("s-2", node.sockets[0].getsockname()[1], shard=1)
+        await self.program.line("node=s-2")
+        body = b"x" * (20 << 20)  # more than the system holds of it
+        answer = await self.client.ask("new-write", shard=1, body=body, X_Deadline_Ms="500")
+        self.assertNotEqual(answer.status, 200)
+        free.set()
+        async with asyncio.timeout(PATIENCE_S):
+            await ended.wait()
+        self.assertTrue(0 < count < len(body))
+
+
 class Leaving(CrossingCase):
     """A client that leaves while its request waits for its first attempt."""
 
