Write no command to a session that its node has ended with its login

Seen by reading the nodes' side of the iSCSI front, then forced: a node that ends the session in the segment that ends its login gets the command all the same. Nothing runs it; it waited or was reset, and a write ended as one that may have run (CHECK CONDITION, 2). Checked: a session that ends while it rests is seen by its receiver one turn after the system has told it; this one has no such turn. At fault: IscsiNodes.attempt, which looks at the address and the window after the login, but not at the session. Change: right before a command begins the session and its socket are looked at; one that has ended was not reached, so the write may go elsewhere, or ends as BUSY. Tests: before the iSCSI front, a command that waits in the module, and one that waits for a connection to a node, is not sent on once its initiator has left (both passed before); the session that ends with its login fails without the look (2, not 8).

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -34,6 +34,7 @@
     pack_text,
     read_pdu,
 )  # fmt: skip
+from lemonridge.net.wire import ended
 
 log = logging.getLogger(__name__)
 
@@ -73,6 +74,8 @@
         session = await self._session(address)
         if self._directory.address(attempt.node) != address:  # the list changed during the login
             raise WithheldError
+        if session.ended:  # what is written to it now would go nowhere, and count as what may have run
+            raise UnreachedError
         if not session.has_room:
             return Outcome(api.Result.FULL)
         ahs = b""
@@ -164,6 +167,11 @@
         """Whether the target's window takes another command."""
         return later(self._max_cmd_sn, self._cmd_sn) >= 0
 
+    @property
+    def ended(self) -> bool:
+        """Whether it is over, or the target has closed it and the event loop has not read that yet."""
+        return self.over or ended(self._writer.transport)
+
     @property
     def idle_s(self) -> float:
         return 0.0 if self._flights else self._loop.time() - self._used
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -337,11 +337,14 @@
         self.logouts = 0
         self.delay = 0.0
         self.silent = self.gone = False
+        self.hangs_up = False  # each session ends with the last word of its login
         self.writers: set[asyncio.StreamWriter] = set()
         self.writes: dict[int, tuple[int, bytearray, int]] = {}  # by task tag; one session at a time
 
-    async def start(self) -> Target:
-        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, made: socket.socket | None = None) -> Target:
+        """Listen, at a socket that listens already if one is given."""
+        where: dict[str, Any] = {"host": "127.0.0.1", "port": 0} if made is None else {"sock": made}
+        self.listener = await asyncio.start_server(self._serve, **where)
         self.port = self.listener.sockets[0].getsockname()[1]
         return self
 
@@ -370,6 +373,12 @@
                     answer = Pdu(Op.LOGIN_RESPONSE, pdu.flags, lun=pdu.lun, tag=pdu.tag)
                     sizes = {"MaxRecvDataSegmentLength": "8192", "FirstBurstLength": "4096"}
                     answer.data = pack_text([*sizes.items(), ("MaxBurstLength", "16384")])
+                    if self.hangs_up:  # both in one segment: whoever reads one can see the other
+                        made = writer.get_extra_info("socket")
+                        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+                        self._send(writer, numbers, answer)
+                        writer.write_eof()
+                        return
                     self._send(writer, numbers, answer)
                 elif pdu.opcode == Op.SCSI_COMMAND:
                     tasks.add(asyncio.create_task(self._command(pdu, writer, numbers)))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,30 @@
 import socket
 from pathlib import Path
 
-from harness import PATIENCE_S, Client, Message, PlatformCase, Register, Server, reply, reset
+from harness import (
+    PATIENCE_S,
+    Client,
+    IscsiCase,
+    Message,
+    PlatformCase,
+    Register,
+    Server,
+    Target,
+    cdb,
+    reply,
+    reset,
+)
+
+
+def full_backlog(late: socket.socket) -> list[socket.socket]:
+    """Listen, and keep the backlog full: a further connect waits until what is given back is closed."""
+    late.bind(("127.0.0.1", 0))
+    late.listen(0)
+    fill = [socket.socket() for _ in range(3)]
+    for one in fill:
+        one.setblocking(False)
+        one.connect_ex(late.getsockname())
+    return fill
 
 
 class CrossingCase(PlatformCase):
@@ -140,13 +163,8 @@
         self.assertFalse({"00000000000000aa", "00000000000000bb"} & seen)
 
     async def test_what_waits_for_a_connection_to_a_node_is_not_sent_on(self) -> None:
-        with socket.socket() as late:  # its backlog is full: a further connect waits
-            late.bind(("127.0.0.1", 0))
-            late.listen(0)
-            fill = [socket.socket() for _ in range(3)]
-            for one in fill:
-                one.setblocking(False)
-                one.connect_ex(late.getsockname())
+        with socket.socket() as late:
+            fill = full_backlog(late)
             self.register.set("s-2", late.getsockname()[1], shard=1)
             await self.program.line("node=s-2")
             client = await self.connect()
@@ -269,3 +287,60 @@
         self.register.broken = [head + chunks + b"0\r\n\r\n"]
         self.register.set("s-2", self.node.port, health="removed")
         self.assertLess(await self.drained_after(asyncio.get_running_loop().time()), DRAIN_S)
+
+
+class Initiators(IscsiCase):
+    """The same before the iSCSI front and its nodes."""
+
+    changes = {"connect_timeout_ms = 250": "connect_timeout_ms = 1900"}
+
+    async def counted(self, name: str, count: int) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while (await self.program.counters()).get(name, 0) < count:
+                pass
+
+    async def leaves(self, block: int, taken: int) -> None:
+        """An initiator that asks for a block, and goes once its command is taken."""
+        session = await self.session()
+        session.command(cdb(0x28, block, 512), read=512)
+        await self.counted("commands.taken", taken)
+        session.writer.transport.abort()
+        await self.counted("answers.gone", 1)
+
+    async def test_what_waits_in_the_module_is_not_sent_on(self) -> None:
+        session = await self.session()
+        self.target.delay = 1.0
+        held = [session.command(cdb(0x28, block, 512), read=512) for block in (1, 2)]
+        async with asyncio.timeout(PATIENCE_S):
+            while len(self.target.begun) < 2:
+                await asyncio.sleep(0)
+        await self.leaves(9, taken=3)
+        self.assertEqual([(await session.answer(tag))[0] for tag in held], [0, 0])
+        self.target.delay = 0.0
+        self.assertEqual((await session.read(3, 512))[0], 0)
+        self.assertEqual([block for _, block, _ in self.target.begun], [1, 2, 3])
+
+    async def test_what_waits_for_a_connection_to_a_node_is_not_sent_on(self) -> None:
+        late = socket.socket()
+        self.addCleanup(late.close)
+        fill = full_backlog(late)
+        address = f"127.0.0.1:{late.getsockname()[1]}"
+        self.etcd.put("/lr/nodes/n1", {**self.target.row(0), "address": address})
+        await self.program.line(f"address={address}")
+        await self.leaves(9, taken=1)
+        for one in fill:
+            one.close()
+        after = await Target().start(late)
+        session = await self.session()  # its command takes the connection that was being made
+        self.assertEqual((await session.read(3, 512))[0], 0)
+        self.assertEqual([block for _, block, _ in after.begun], [3])
+
+    async def test_a_session_that_ends_with_its_login_carries_nothing(self) -> None:
+        """A command written to it would wait for its deadline, and count as one that may have run."""
+        self.target.hangs_up = True
+        session = await self.session()
+        status, _, _ = await session.write(5, bytes(512))
+        self.assertEqual(status, 0x08)  # busy: it never ran, and whoever asks may ask again
+        told = await self.program.counters()
+        self.assertEqual((told.get("attempts.sent", 0), told["attempts.unreached"] > 0), (0, True))
+        self.assertEqual(self.target.begun, [])
