--- a/tests/harness.py
+++ b/tests/harness.py
@@ -165,9 +165,10 @@
     def answer(self, whole: bool, hosts: list[Any], **layout: Any) -> bytes:
         return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}, **layout).encode()
 
-    def set(self, host: str, port: int, shard: int = 0, health: str = "up", born_ms: int = 0) -> None:
+    def set(self, host: str, port: int, shard: int = 0, health: str = "up", born_ms: int = 0,
+            site: str = "a") -> None:
         self.seq += 1
-        self.rows[host] = {"host": host, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m",
+        self.rows[host] = {"host": host, "dial": f"127.0.0.1:{port}", "site": site, "class": "m",
                            "block": shard, "health": health, "share": 1.0, "born_ms": born_ms}
         self.told_by[host] = self.seq
         self.wakes = asyncio.get_running_loop().create_task(self.wake())
