Read load reports by the field that the settings name

Change: the field comes from the settings (held_field), with SIGHUP too; where they name none, nothing is read. Tests: one of the nodes' side and one of the settings; before, the value of `busy_reqs` was None.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -51,7 +51,7 @@
         else:
             seq = platform.known.get("seq")
             known = seq if isinstance(seq, int) and not isinstance(seq, bool) else None
-    nodes = HttpNodes(made.directory, made.clock, platform.connect_us, platform.keepalive_us, made.counters)
+    nodes = HttpNodes(made.directory, made.clock, platform, made.counters)
     made.close = nodes.close
     random = Random(platform.seed)
 
@@ -75,7 +75,7 @@
         if made.peers is not None:
             made.peers.configure(new.settings)
         front.configure(new)
-        nodes.configure(new.connect_us, new.keepalive_us)
+        nodes.configure(new)
         if (new.discovery, new.zones) != (old.discovery, old.zones):
             watch()
 
--- a/lemonridge/config.py
+++ b/lemonridge/config.py
@@ -11,7 +11,7 @@
 import orjson
 
 from lemonridge import api
-from lemonridge.settings import SettingsError, names, settings_from
+from lemonridge.settings import SettingsError, held_field, names, settings_from
 
 SOCKETS, MEMORY_MB = 1024, 192  # where no limit is told
 PEERS_MAX = 256  # brokers of a tier that speak to each other; past it none does
@@ -83,6 +83,7 @@
     sockets: int
     memory_bytes: int
     shards: int  # 0 where they are not told
+    held_field: str  # of answers' load reports; empty where there is none
     known: Mapping[str, Any]
     filed: Mapping[str, Any]  # the keys that have a variable, as the file itself has them
     admin: Address | None = None  # where operators call; None: nowhere
@@ -183,6 +184,7 @@
         sockets=int(_told(limits, "sockets") or SOCKETS),
         memory_bytes=int((_told(limits, "memory_mb") or MEMORY_MB) * 2**20),
         shards=int(_told(facts["family-info"], "n-shards")),
+        held_field=held_field(facts),
         known=known if isinstance(known, dict) else {},
         filed=filed,
         fleet=_fleet(told, facts, settings.hosts),
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -16,6 +16,7 @@
 from yarl import URL
 
 from lemonridge import api
+from lemonridge.config import Platform
 from lemonridge.core.clock import Clock
 from lemonridge.core.directory import Directory
 from lemonridge.core.model import Attempt, Outcome, UnreachedError, WithheldError
@@ -103,20 +104,20 @@
 class HttpNodes:
     """Makes attempts at the platform's nodes."""
 
-    def __init__(self, directory: Directory, clock: Clock, connect_us: int, keepalive_us: int,
-                 counters: Counters) -> None:
-        self._directory, self._clock = directory, clock
+    def __init__(self, directory: Directory, clock: Clock, platform: Platform, counters: Counters) -> None:
+        self._directory, self._clock, self._held_field = directory, clock, platform.held_field
         self._loop = asyncio.get_running_loop()
         self.epoch: Callable[[float], str | None] | None = None  # of what was decided then; None: it is over
         self.minds_stops = False  # what was decided before a stop is not sent after it: its slices are over
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._before_first_byte)
-        self._connector = _Connector(connect_us, keepalive_us, counters)
+        self._connector = _Connector(platform.connect_us, platform.keepalive_us, counters)
         self._session = session(self._connector, trace_configs=[trace], read_bufsize=BUFFER)
 
-    def configure(self, connect_us: int, keepalive_us: int) -> None:
-        """New limits, for the connects and the reuses to come."""
-        self._connector.configure(connect_us, keepalive_us)
+    def configure(self, platform: Platform) -> None:
+        """New settings, for the connects, the reuses and the answers to come."""
+        self._connector.configure(platform.connect_us, platform.keepalive_us)
+        self._held_field = platform.held_field
 
     async def attempt(self, attempt: Attempt) -> Outcome:
         """Send the request once and read the answer."""
@@ -182,7 +183,7 @@
         told: dict[str, Any] = {
             "used": _whole(headers.get("X-Iops-Used"), 1),
             "elsewhere": _number(headers.get("X-Rho")),
-            "held": _load(headers.get("X-Load")).get("inflight"),
+            "held": _load(headers.get("X-Load")).get(self._held_field),
         }
         if response.status == 200:
             return Outcome(api.Result.OK, reply, **told)
@@ -206,7 +207,7 @@
 
 
 def _load(text: str | None) -> dict[str, float]:
-    """A load report, `inflight=7,queue=2`."""
+    """A load report, `inflight=7,queue=2`, with the fields that the settings name."""
     report: dict[str, float] = {}
     for part in (text or "").split(","):
         name, _, figure = part.partition("=")
--- a/lemonridge/settings.py
+++ b/lemonridge/settings.py
@@ -13,6 +13,10 @@
 }
 
 
+# The requests that a node holds, in the settings' words and in the protocol's.
+HELD = ("busy_reqs", "inflight")
+
+
 class SettingsError(Exception):
     """Settings that lack something; the text is fit to print."""
 
@@ -101,6 +105,16 @@
     )
 
 
+def held_field(facts: dict[str, Any]) -> str:
+    """The field of an answer's load report that says how many requests its node holds; empty where the
+    settings name none, or answers carry no reports."""
+    report = facts.get("load-info")
+    if not isinstance(report, dict) or report.get("source") != "piggyback":
+        return ""
+    fields = report.get("names")
+    return next((one for one in fields if one in HELD), "") if isinstance(fields, list) else ""
+
+
 def names(facts: dict[str, Any], table: str) -> tuple[str, ...]:
     """The names of the rows of a table, in the order of their numbers."""
     rows = _rows(facts, table)
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -10,6 +10,8 @@
 
 from harness import ROOT, Client, Message, PlatformCase, Server, reply, reset, serve_ok
 
+from lemonridge.settings import held_field
+
 WINDOW_S = 0.6
 CLASSES = [
     {"aim-us": 450_000, "deadline-us": 1_800_000, "gain": 1.0, "group": "all", "memory-span-us": 0,
@@ -116,6 +118,17 @@
         self.assertLessEqual(units, 4.0 + 0.5 * 2)  # its burst, and what came in meanwhile
 
 
+class Reports(unittest.TestCase):
+    def test_the_field_of_a_load_report_is_the_one_that_the_settings_name(self) -> None:
+        for report, field in (
+            ({"source": "piggyback", "names": ["pending", "busy_reqs"]}, "busy_reqs"),
+            ({"source": "piggyback", "names": ["inflight"]}, "inflight"),
+            ({"source": "piggyback", "names": ["svc_ms"]}, ""), ({"source": "piggyback"}, ""),
+            ({"source": "pull", "names": ["busy_reqs"]}, ""), (None, ""), ([], ""),
+        ):  # fmt: skip
+            self.assertEqual(held_field({"load-info": report}), field)
+
+
 class Sites(unittest.TestCase):
     def test_the_sites_to_try_differ_in_every_name_from_each_other(self) -> None:
         paths = sorted((ROOT / "deploy" / "sites").glob("*.toml"))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 import tomllib
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 
 from harness import (
     FACTS,
@@ -223,7 +224,8 @@
         self.node = await Server(serve_ok).start()
         self.addresses: list[str | None] = []
         self.clock = Clock(asyncio.get_running_loop())
-        self.nodes = HttpNodes(self, self.clock, 250_000, 500_000, Counters())  # type: ignore[arg-type]
+        platform = SimpleNamespace(connect_us=250_000, keepalive_us=500_000, held_field="busy_reqs")
+        self.nodes = HttpNodes(self, self.clock, platform, Counters())  # type: ignore[arg-type]
         self.addAsyncCleanup(self.nodes.close)
 
     def address(self, _: str) -> str | None:
@@ -257,6 +259,15 @@
         await asyncio.gather(self.attempt(), self.attempt())
         self.assertEqual(self.node.opened, 3)
 
+    async def test_a_load_report_is_read_by_the_field_that_the_settings_name(self) -> None:
+        for told, held in (("pending=3,busy_reqs=7.5", 7.5), ("busy_reqs=0", 0.0), ("inflight=7", None),
+                           ("busy_reqs=-1", None), ("busy_reqs", None)):
+            async def tells(_: Server, __: Message, writer: asyncio.StreamWriter, told: str = told) -> None:
+                reply(writer, X_Load=told)
+
+            self.node.script = tells
+            self.assertEqual((await self.attempt()).held, held)
+
     async def test_a_spoilt_answer_is_a_reset_and_its_connection_not_used_again(self) -> None:
         good = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n"
         for answer in (
