Bound what is read of a flood, and force late connects across deadline, drain and end

Seen by reading the bounds: a connection with an open request is paused once over 16 KiB wait behind it, but asyncio reads 256 KiB at once, so each could bring that much: with half of 544 sockets 68 MB, where a broker has 80. At fault: Connection.connection_made (net/http_connection.py), which left asyncio's size of a read as it was. Change: 32 KiB are read at once, so 48 KiB wait at most for each connection (13 MB of that example); what was kept of a message that is refused is let go at once. Asking was left alone: a client that sends behind its request is still served in turn.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -34,6 +34,7 @@
 LOOKED_AT = 8  # of a state, for one that can be spared: a crowd must not cost a look at all of it
 SHORT = 16 * 1024  # a body that is not counted against the long ones
 AHEAD = 16 * 1024  # bytes behind an open request, before they are left in the socket
+READ = 32 * 1024  # bytes that are read at once, and so the most beyond that: asyncio would read 256 KiB
 LOOK_S = 0.1  # how often it is looked for the end of a connection that is not read meanwhile
 
 
@@ -205,6 +206,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
+        transport.max_size = READ  # type: ignore[attr-defined]  # of asyncio's own for sockets
         self._transport = transport
         self._room.admit(self)
 
@@ -281,6 +283,8 @@
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
         self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
         self._over = self._ending = True
+        self._room.buffered -= len(self._data) + len(self._body)
+        self._data, self._body = bytearray(), bytearray()
         self.left_at = asyncio.get_running_loop().time()
         if status != HTTPStatus.SERVICE_UNAVAILABLE:  # who may come back is read from, to have its answer
             self._transport.pause_reading()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import resource
 import signal
 import socket
 from pathlib import Path
@@ -19,8 +20,10 @@
     Server,
     Target,
     cdb,
+    read_message,
     reply,
     reset,
+    serve_ok,
 )
 
 
@@ -192,6 +195,38 @@
         self.assertEqual((await self.program.counters()).get("attempts.sent", 0), 0)
 
 
+class Floods(CrossingCase):
+    """Clients that send much at once."""
+
+    def resident(self) -> int:
+        """Bytes of memory that the program holds."""
+        text = Path(f"/proc/{self.program.process.pid}/statm").read_text()
+        return int(text.split()[1]) * resource.getpagesize()
+
+    async def test_what_is_held_of_a_flood_has_its_bound(self) -> None:
+        free = asyncio.Event()
+
+        async def held(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            reply(writer)
+
+        self.node.script = held
+        before, clients = self.resident(), [await self.connect(ready=False) for _ in range(120)]
+        for client in clients:
+            client.writer.write(client.text() + b"x" * (1 << 20))  # a request, and no other behind it
+        for _ in range(3):
+            await self.settled()
+        # 120 requests that are open, and READ and AHEAD for each; unbounded reads made it 35 MB.
+        self.assertLess(self.resident() - before, 14 << 20)
+        free.set()
+        for client in clients[:20]:
+            client.writer.transport.abort()  # some go at once
+        async with asyncio.timeout(PATIENCE_S):
+            for client in clients[20:]:
+                self.assertIn((await read_message(client.reader)).status, (200, 503))
+        self.assertEqual((await (await self.connect()).ask()).status, 200)
+
+
 DRAIN_S = 0.55  # nothing new so long after a drain is told: the settings' 500 ms and the protocol's 50
 
 
@@ -289,6 +324,59 @@
         self.assertLess(await self.drained_after(asyncio.get_running_loop().time()), DRAIN_S)
 
 
+class Dials(CrossingCase):
+    """A connection to a node that comes up late, across what happens meanwhile."""
+
+    facts = {"limits": {"connect-timeout-us": 1_900_000}}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.late = socket.socket()
+        self.addCleanup(self.late.close)
+        self.fill = full_backlog(self.late)
+        self.register.set("s-2", self.late.getsockname()[1], shard=1)
+        await self.program.line("node=s-2")
+
+    async def dialled(self) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while (await self.program.counters()).get("connections.opened", 0) < 1:
+                pass
+
+    async def come_up(self) -> Server:
+        """The node takes connections from here on."""
+        for one in self.fill:
+            one.close()
+        node = Server(serve_ok)
+        node.listener = await asyncio.start_server(node._serve, sock=self.late)
+        return node
+
+    async def test_nothing_is_sent_once_the_deadline_has_passed(self) -> None:
+        answer = await self.client.ask(shard=1, X_Deadline_Ms="300")
+        self.assertEqual(answer.status, 503)
+        node = await self.come_up()
+        self.assertEqual((await self.client.ask()).status, 200)
+        self.assertFalse(node.seen)
+        self.assertEqual((await self.program.counters())["attempts.sent"], 1)
+
+    async def test_nothing_is_sent_once_a_drain_is_told(self) -> None:
+        asking = asyncio.create_task(self.client.ask(shard=1, X_Deadline_Ms="1200"))
+        await self.dialled()
+        self.register.set("s-2", self.late.getsockname()[1], shard=1, health="draining")
+        await self.program.line("condition=leaving")
+        node = await self.come_up()
+        self.assertEqual((await asking).status, 503)
+        self.assertFalse(node.seen)
+
+    async def test_what_was_taken_before_the_end_is_still_served(self) -> None:
+        asking = asyncio.create_task(self.client.ask(shard=1))
+        await self.dialled()
+        ending = asyncio.create_task(self.program.end())
+        await self.program.line("event=stopping")
+        await self.come_up()
+        self.assertEqual((await asking).status, 200)
+        self.assertEqual(await ending, 0)
+
+
 class Initiators(IscsiCase):
     """The same before the iSCSI front and its nodes."""
 
