Send nothing to an address that the list has taken from its node during the connect

Seen by reading the moment before the first byte: it was asked whether the node may get new work, not whether it still is where the connection was made to. A list that moves a node while a connect takes its time had the request sent to an address that is on no list. Also seen: wire.ended asked the system of a socket that the loop had closed one turn before, which is a ValueError; it answers yes now. At fault: HttpNodes._before_first_byte (net/http_nodes.py), _poll (net/wire.py). Change: the address goes with the attempt and has to be the list's still. Tests: the nodes' side fails without it (WithheldError not raised).

--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -136,7 +136,7 @@
         try:
             response = await self._session.request(
                 payload.method, URL(f"http://{address}{payload.target}", encoded=True), headers=headers,
-                data=payload.body or None, allow_redirects=False, trace_request_ctx=attempt,
+                data=payload.body or None, allow_redirects=False, trace_request_ctx=(attempt, address),
             )  # fmt: skip
             outcome: Outcome | None = None
             try:
@@ -165,8 +165,8 @@
         The list may have changed while the connection was being made, and so may all else by which the
         attempt was decided on.
         """
-        attempt: Attempt = context.trace_request_ctx
-        if self._directory.address(attempt.node) is None:
+        attempt, address = context.trace_request_ctx
+        if self._directory.address(attempt.node) != address:  # it drains, is gone, or is elsewhere
             raise WithheldError
         if self.minds_stops and self._loop.time() > attempt.decided_s + self._connector.connect_s + LATE_S:
             raise WithheldError
--- a/lemonridge/net/wire.py
+++ b/lemonridge/net/wire.py
@@ -30,7 +30,7 @@
 
 def ended(transport: asyncio.BaseTransport) -> bool:
     """Whether the other side has ended a connection, also where that lies behind what is not read."""
-    return _poll(transport, select.POLLRDHUP)
+    return transport.is_closing() or _poll(transport, select.POLLRDHUP)
 
 
 def _poll(transport: asyncio.BaseTransport, events: int) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -112,6 +112,38 @@
         self.assertTrue(0 < count < len(body))
 
 
+    async def test_a_node_that_answers_early_gets_no_more_beside_the_next_attempt(self) -> None:
+        free, ended, counts = asyncio.Event(), asyncio.Event(), [0, 0]
+
+        async def full_once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            number = 1 if counts[0] else 0
+            await reader.readuntil(b"\r\n\r\n")
+            counts[number] += 1
+            if number == 0:
+                reply(writer, status=503, X_Not_Run="1")
+                await free.wait()
+            with contextlib.suppress(ConnectionError):
+                while part := await reader.read(1 << 20):
+                    counts[number] += len(part)
+                    if counts[1] > len(body):
+                        reply(writer, b"whole")
+            writer.close()
+            if number == 0:
+                ended.set()
+
+        body = b"x" * (20 << 20)
+        node = await asyncio.start_server(full_once, "127.0.0.1", 0, limit=1 << 12)
+        self.addCleanup(node.close)
+        self.register.set("s-2", node.sockets[0].getsockname()[1], shard=1)
+        await self.program.line("node=s-2")
+        answer = await self.client.ask("new-write", shard=1, body=body)
+        self.assertEqual((answer.status, answer.body), (200, b"whole"))
+        free.set()
+        async with asyncio.timeout(PATIENCE_S):
+            await ended.wait()
+        self.assertLess(counts[0], len(body))
+
+
 class Leaving(CrossingCase):
     """A client that leaves while its request waits for its first attempt."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -238,10 +238,11 @@
 
     async def test_a_node_that_drains_during_the_connect_gets_no_byte(self) -> None:
         """The drain rule counts from the first byte, and a connect takes its time."""
-        self.addresses = [f"127.0.0.1:{self.node.port}", None]
-        with self.assertRaises(WithheldError):
-            await self.attempt()
-        await self.node.until(lambda: self.node.opened == 1 and not self.node.open)
+        for count, then in enumerate((None, "127.0.0.1:1"), 1):  # or it has moved to another address
+            self.addresses = [f"127.0.0.1:{self.node.port}", then]
+            with self.assertRaises(WithheldError):
+                await self.attempt()
+            await self.node.until(lambda count=count: self.node.opened == count and not self.node.open)
         self.assertEqual(self.node.seen, [])
 
     async def test_the_latest_used_is_reused_and_an_idle_one_is_not_used_again(self) -> None:
