Keep the ports of a rig's brokers from their choice to their start

The rig let the system choose each broker's ports, gave them back, and started registers, nodes and other brokers before the program took them; whoever asks the system for a port meanwhile may get the same. At fault: Rig.start, which used free_port. Change: a port that is chosen stays bound, without a listener, until the rig ends. Nobody else is given it, and the program, whose listener says SO_REUSEADDR, has it at each of its starts. Only lab code: what a broker loads is as it was.

--- a/lemonridge/lab/rig.py
+++ b/lemonridge/lab/rig.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 from lemonridge.governance import Store
-from lemonridge.lab.links.datagrams import Network, Stretch, free_port
+from lemonridge.lab.links.datagrams import Network, Stretch, kept_port
 from lemonridge.lab.links.schedule import LINKS, Fault, Schedule
 from lemonridge.lab.load.http import ready
 from lemonridge.lab.program import Program
@@ -149,6 +149,7 @@
         self.splits = 0
         self._links: dict[tuple[int, int], list[Fault]] = {}  # the faults under way, by stretch
         self.broken: list[str] = []  # what did not go as a drill must
+        self._kept: list[socket.socket] = []  # the brokers' ports, from before their start
 
     def now(self) -> float:
         """Seconds since the load began."""
@@ -167,7 +168,9 @@
             more: tuple[str, ...] = ("--peers",) if self.peers else ()
             if self.peers and (self.site.further or self.site.lease_ms):
                 more = ("--config", str(self.fleet_file(number)))
-            broker = Broker(number, free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM),
+            port, admin = kept_port(), kept_port()
+            self._kept += port, admin
+            broker = Broker(number, port.getsockname()[1], admin.getsockname()[1],
                             self.folder / f"b{number}.json", register, more,
                             module=module(number))  # fmt: skip
             broker.config.write_text(json.dumps(self.config(broker)))
@@ -215,6 +218,8 @@
 
     async def clear(self) -> None:
         """Whatever is left."""
+        for kept in self._kept:
+            kept.close()
         for broker in self.brokers:
             if broker.program is not None and broker.program.process.returncode is None:
                 broker.program.process.kill()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 from math import exp, factorial
 from pathlib import Path
@@ -14,6 +15,7 @@
 from lemonridge import api
 from lemonridge.config import ConfigError
 from lemonridge.lab import demo
+from lemonridge.lab.links.datagrams import kept_port
 from lemonridge.lab.load import iscsi as load
 from lemonridge.lab.measure.decisions import cost_us
 from lemonridge.lab.model import runs, spec
@@ -288,3 +290,15 @@
         used.append(figures["limits_used"])
         assert 0 < figures["cold_used"] < 2.5 and not figures["over_limit"] and not figures["fallen"]
     assert 0.3 < used[0] < used[1] - 0.05 < 1
+
+
+def test_a_port_that_is_kept_is_for_the_program_that_names_it() -> None:
+    """A rig chooses its brokers' ports before they start; others ask the system for ports meanwhile."""
+    with kept_port() as kept:
+        address = kept.getsockname()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(address)
+        for _ in range(2):  # and for its next start
+            with socket.create_server(address) as listener, socket.create_connection(address) as client:
+                listener.accept()[0].close()
+                assert client.recv(1) == b""
