Force a client's leaving across the end of the program, on both fronts

Need: what waits for its first attempt is not sent on once its client has left, at any state; the end of the program had no test. Tests: SIGTERM, then the client's close, then room at the node: nothing more comes to it, and the program ends with 0 (HTTP and iSCSI).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,6 +13,7 @@
 from harness import (
     PATIENCE_S,
     Client,
+    Initiator,
     IscsiCase,
     Message,
     PlatformCase,
@@ -185,6 +186,19 @@
             await self.gone(1 if end == "close" else 2)
         self.assertNotIn("00000000000000aa", await self.seen_after(free))
 
+    async def test_what_waits_while_the_program_ends_is_not_sent_on(self) -> None:
+        free = await self.hold_the_node()
+        client = await self.connect()
+        client.writer.write(client.text(X_Request_Id="00000000000000aa"))
+        await self.settled()
+        ending = asyncio.create_task(self.program.end())
+        await self.program.line("event=stopping")
+        client.writer.close()
+        await self.gone()
+        free.set()
+        self.assertEqual(await ending, 0)
+        self.assertEqual(len(self.node.seen), 2)  # those that it held
+
     async def test_what_waits_behind_a_reader_that_is_paused_is_not_sent_on(self) -> None:
         free = await self.hold_the_node()
         client = await self.connect()
@@ -419,22 +433,40 @@
             while (await self.program.counters()).get(name, 0) < count:
                 pass
 
-    async def leaves(self, block: int, taken: int) -> None:
-        """An initiator that asks for a block, and goes once its command is taken."""
+    async def asks(self, block: int, taken: int) -> Initiator:
+        """An initiator that asks for a block, and whose command is taken."""
         session = await self.session()
         session.command(cdb(0x28, block, 512), read=512)
         await self.counted("commands.taken", taken)
+        return session
+
+    async def leaves(self, session: Initiator) -> None:
         session.writer.transport.abort()
         await self.counted("answers.gone", 1)
 
-    async def test_what_waits_in_the_module_is_not_sent_on(self) -> None:
+    async def hold_the_node(self) -> tuple[Initiator, list[int]]:
+        """Two commands that fill the node's window for a while."""
         session = await self.session()
         self.target.delay = 1.0
         held = [session.command(cdb(0x28, block, 512), read=512) for block in (1, 2)]
         async with asyncio.timeout(PATIENCE_S):
             while len(self.target.begun) < 2:
                 await asyncio.sleep(0)
-        await self.leaves(9, taken=3)
+        return session, held
+
+    async def test_what_waits_while_the_program_ends_is_not_sent_on(self) -> None:
+        session, held = await self.hold_the_node()
+        leaver = await self.asks(9, taken=3)
+        ending = asyncio.create_task(self.program.end())
+        await self.program.line("event=stopping")
+        await self.leaves(leaver)
+        self.assertEqual([(await session.answer(tag))[0] for tag in held], [0, 0])
+        self.assertEqual(await ending, 0)
+        self.assertEqual([block for _, block, _ in self.target.begun], [1, 2])
+
+    async def test_what_waits_in_the_module_is_not_sent_on(self) -> None:
+        session, held = await self.hold_the_node()
+        await self.leaves(await self.asks(9, taken=3))
         self.assertEqual([(await session.answer(tag))[0] for tag in held], [0, 0])
         self.target.delay = 0.0
         self.assertEqual((await session.read(3, 512))[0], 0)
@@ -447,7 +479,7 @@
         address = f"127.0.0.1:{late.getsockname()[1]}"
         self.etcd.put("/lr/nodes/n1", {**self.target.row(0), "address": address})
         await self.program.line(f"address={address}")
-        await self.leaves(9, taken=1)
+        await self.leaves(await self.asks(9, taken=1))
         for one in fill:
             one.close()
         after = await Target().start(late)
