Give a list that has begun a second to become whole

Seen by reading the watch once more: a whole list had half of the time for a drain (0.25 s) from the call to its last byte. That is the measure of a silence, not of a list: one whose rest came 0.4 s later was given up, asked for again and given up again, for ever. At fault: Discovery._call (net/discovery.py), since the watches are heard in time. Test: test_a_list_that_has_begun_may_take_longer_than_a_silence fails without it (TimeoutError: the drain is never heard).

--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -123,8 +123,9 @@
         query = "" if seq is None else f"?after={seq}&wait_ms={int(self._wait_s * 1000)}"
         silent_s = self._answer_s if seq is None else self._wait_s + GRACE_S
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout_at(loop.time() + silent_s):
+        async with asyncio.timeout_at(loop.time() + silent_s) as scope:
             async with http.get(self._url + query, allow_redirects=False) as answer:
+                scope.reschedule(loop.time() + GRACE_S)  # it speaks, and a long list takes its time
                 if answer.status != 200:
                     raise UnansweredError(f"status {answer.status}")
                 body = bytearray()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -358,6 +358,26 @@
         self.assertTrue(all("after=" not in one.start for one in self.discovery.seen[calls + 1 : -1]))
         self.assertNotIn("seq=9", "".join(self.program.lines))
 
+    async def test_a_list_that_has_begun_may_take_longer_than_a_silence(self) -> None:
+        await self.watching()
+        await self.register.fall_silent()
+        self.register.set("s-1", self.node.port, health="draining")
+        text = self.register.answer(True, list(self.register.rows.values()))
+        calls: list[asyncio.StreamWriter] = []
+
+        async def slowly(_: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+            if "after=" in message.start:
+                return
+            calls.append(writer)
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text[:9]))
+            await asyncio.sleep(0.4)  # the time that a call without any answer has is 0.25 s
+            writer.write(text[9:])
+
+        self.discovery.script = slowly
+        reset(self.register.muted[0])
+        await self.drained_after(0.0)
+        self.assertEqual(len(calls), 1)
+
     async def test_a_list_may_come_indented_and_in_pieces(self) -> None:
         await self.watching()
         self.register.set("s-1", self.node.port, health="draining")
