--- a/tests/harness.py
+++ b/tests/harness.py
@@ -236,6 +236,12 @@
         pairs = (pair.partition("=") for pair in (await self.line("event=counters")).split())
         return {name: int(value) for name, _, value in pairs if value.isdigit()}
 
+    async def counted(self, name: str, count: int = 1) -> None:
+        """Wait until the program has counted so many."""
+        async with asyncio.timeout(PATIENCE_S):
+            while (await self.counters()).get(name, 0) < count:
+                pass
+
     async def end(self, name: signal.Signals = signal.SIGTERM) -> int:
         if self.process.returncode is None:
             self.process.send_signal(name)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -165,11 +165,6 @@
         await self.node.until(lambda: len(self.node.seen) == 2)
         return free
 
-    async def gone(self, count: int = 1) -> None:
-        async with asyncio.timeout(PATIENCE_S):
-            while (await self.program.counters()).get("answers.gone", 0) < count:
-                pass
-
     async def seen_after(self, free: asyncio.Event) -> set[str]:
         """The ids that the node has seen once a request that came later is answered."""
         free.set()
@@ -183,7 +178,7 @@
             client.writer.write(client.text(X_Request_Id="00000000000000aa"))
             await self.settled()
             client.writer.close() if end == "close" else client.writer.write_eof()
-            await self.gone(1 if end == "close" else 2)
+            await self.program.counted("answers.gone", 1 if end == "close" else 2)
         self.assertNotIn("00000000000000aa", await self.seen_after(free))
 
     async def test_what_waits_while_the_program_ends_is_not_sent_on(self) -> None:
@@ -194,7 +189,7 @@
         ending = asyncio.create_task(self.program.end())
         await self.program.line("event=stopping")
         client.writer.close()
-        await self.gone()
+        await self.program.counted("answers.gone")
         free.set()
         self.assertEqual(await ending, 0)
         self.assertEqual(len(self.node.seen), 2)  # those that it held
@@ -207,7 +202,7 @@
         client.writer.write(client.text(X_Request_Id="00000000000000bb") + b"x" * (1 << 20))
         await self.settled()
         client.writer.transport.abort()
-        await self.gone()
+        await self.program.counted("answers.gone")
         seen = await self.seen_after(free)
         self.assertFalse({"00000000000000aa", "00000000000000bb"} & seen)
 
@@ -218,18 +213,15 @@
             await self.program.line("node=s-2")
             client = await self.connect()
             client.writer.write(client.text(shard=1, X_Request_Id="00000000000000aa"))
-            async with asyncio.timeout(PATIENCE_S):
-                while (await self.program.counters()).get("connections.opened", 0) < 1:
-                    pass
+            await self.program.counted("connections.opened")
             client.writer.close()
-            await self.gone()
+            await self.program.counted("answers.gone")
             late.setblocking(False)
             loop = asyncio.get_running_loop()
             for one in fill:
                 one.close()
+            await self.program.counted("attempts.moot")
             async with asyncio.timeout(PATIENCE_S):
-                while (await self.program.counters()).get("attempts.moot", 0) < 1:
-                    pass
                 for _ in fill:  # nothing but these ever came, and none of them says a word
                     try:
                         accepted = late.accept()[0]
@@ -262,7 +254,7 @@
             client.writer.write(client.text() + b"x" * (1 << 20))  # a request, and no other behind it
         for _ in range(3):
             await self.settled()
-        # 120 requests that are open, and READ and AHEAD for each; unbounded reads made it 35 MB.
+        # 120 requests that are open, and READ and AHEAD for each; unbounded reads made it 28 MB.
         self.assertLess(self.resident() - before, 14 << 20)
         free.set()
         for client in clients[:20]:
@@ -403,11 +395,6 @@
         self.register.set("s-2", self.late.getsockname()[1], shard=1)
         await self.program.line("node=s-2")
 
-    async def dialled(self) -> None:
-        async with asyncio.timeout(PATIENCE_S):
-            while (await self.program.counters()).get("connections.opened", 0) < 1:
-                pass
-
     async def come_up(self) -> Server:
         """The node takes connections from here on."""
         for one in self.fill:
@@ -426,7 +413,7 @@
 
     async def test_nothing_is_sent_once_a_drain_is_told(self) -> None:
         asking = asyncio.create_task(self.client.ask(shard=1, X_Deadline_Ms="1200"))
-        await self.dialled()
+        await self.program.counted("connections.opened")
         self.register.set("s-2", self.late.getsockname()[1], shard=1, health="draining")
         await self.program.line("condition=leaving")
         node = await self.come_up()
@@ -435,7 +422,7 @@
 
     async def test_what_was_taken_before_the_end_is_still_served(self) -> None:
         asking = asyncio.create_task(self.client.ask(shard=1))
-        await self.dialled()
+        await self.program.counted("connections.opened")
         ending = asyncio.create_task(self.program.end())
         await self.program.line("event=stopping")
         await self.come_up()
@@ -448,21 +435,16 @@
 
     changes = {"connect_timeout_ms = 250": "connect_timeout_ms = 1900"}
 
-    async def counted(self, name: str, count: int) -> None:
-        async with asyncio.timeout(PATIENCE_S):
-            while (await self.program.counters()).get(name, 0) < count:
-                pass
-
     async def asks(self, block: int, taken: int) -> Initiator:
         """An initiator that asks for a block, and whose command is taken."""
         session = await self.session()
         session.command(cdb(0x28, block, 512), read=512)
-        await self.counted("commands.taken", taken)
+        await self.program.counted("commands.taken", taken)
         return session
 
     async def leaves(self, session: Initiator) -> None:
         session.writer.transport.abort()
-        await self.counted("answers.gone", 1)
+        await self.program.counted("answers.gone", 1)
 
     async def hold_the_node(self) -> tuple[Initiator, list[int]]:
         """Two commands that fill the node's window for a while."""
