Change who votes through the log, one at a time, and give the emergency call a command

Seen: the first five members of the files voted for ever. One that was gone for good could only be replaced by a machine of its name, and a fleet that had lost a majority had to be stopped and made anew by hand.

Change: a state names its voters, and the next slot and its leases are theirs (machine.py, leases.py). Between neighbours majorities share a voter; an interval of two epochs needs one of each epoch's. It is refused while a lease is held, a lost one was heard within two leases, or a remaining one was not; it logs one critical line.

Now a majority of those who vote afterwards must have answered the check, and a member without its store says so. Two halves that both went on alone never heard of each other: since an emergency each tells a random stranger as well.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -23,7 +23,7 @@
 from lemonridge.net.http_nodes import HttpNodes
 from lemonridge.net.operators import Operators
 from lemonridge.net.succession import Succession
-from lemonridge.operate.calls import Call, Order, Reply
+from lemonridge.operate.calls import OF_POLICY, Call, Order, Reply
 from lemonridge.operate.handover import NEWS_US, Estate, Row
 from lemonridge.operate.life import Life, Phase
 from lemonridge.service import Service
@@ -133,7 +133,7 @@
             return self._ready()
         if order.call is Call.FLEET:
             return seen(self._service)
-        if order.call in (Call.POLICY, Call.PROPOSE, Call.ABORT):
+        if order.call in OF_POLICY:
             governor = self._service.governor
             return governor.act(order) if governor else Reply(False, "this broker goes by its own file")
         if self._taking:
--- a/lemonridge/governance.py
+++ b/lemonridge/governance.py
@@ -32,7 +32,7 @@
 from lemonridge.rollout import document
 from lemonridge.rollout.document import Policy, PolicyError
 from lemonridge.rollout.leases import NOTHING, Interval
-from lemonridge.rollout.machine import VOTERS_MAX, Action, Keep, Kept, Rollout, Say
+from lemonridge.rollout.machine import Action, Keep, Kept, Rollout, Say
 
 log = logging.getLogger(__name__)
 
@@ -126,7 +126,7 @@
                         extra={"path": plan.rollout.store})
         own = document.policy_from(platform.settings, platform.plans, platform.classes)
         least = document.floor(own, plan.rollout.floor)
-        voters = dict.fromkeys(plan.names[:VOTERS_MAX], 0)
+        voters = dict.fromkeys(plan.names[: document.VOTERS_MAX], 0)
         genesis = document.State(epoch=0, prior="", voters=voters, policy=own, floor=least)
         ident = 1 + secrets.randbelow(1 << 62)
         try:
@@ -292,6 +292,11 @@
             done = self.rollout.abort()
             self._flush()
             return Reply(done, "called off" if done else "no change of this broker's can be called off now")
+        if order.call in (Call.ADMIT, Call.RETIRE):
+            return self._proposed(self.rollout.admit(now_us) if order.call is Call.ADMIT
+                                  else self.rollout.retire(order.node, now_us))
+        if order.call is Call.FORCE:
+            return self._force(order.text, now_us)
         try:
             told = orjson.loads(order.text)
             policy, note = document.policy_of(told["policy"]), str(told.get("note", ""))
@@ -301,6 +306,28 @@
             why = self.rollout.wrong(policy)
             return Reply(not why, why or "; ".join(document.difference(self.rollout.state.policy, policy))
                          or "nothing differs")
-        why = self.rollout.propose(policy, note, now_us)
+        return self._proposed(self.rollout.propose(policy, note, now_us))
+
+    def _proposed(self, why: str) -> Reply:
         self._flush()
         return Reply(not why, why or f"epoch {self.rollout.state.epoch + 1} is proposed")
+
+    def _force(self, text: str, now_us: int) -> Reply:
+        """The emergency call: to go on without a majority."""
+        try:
+            told = orjson.loads(text)
+            lost, note = tuple(map(str, told["lost"])), str(told.get("note", ""))
+        except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+            return Reply(False, f"not an emergency call: {error}")
+        before = self.rollout.state.epoch
+        why = self.rollout.force(lost, note, now_us)
+        if why:
+            log.warning("emergency call refused", extra={"lost": ",".join(lost), "why": why})
+        else:
+            log.critical("emergency", extra={
+                "lost": ",".join(lost), "note": note, "voters": ",".join(self.rollout.state.voters),
+                "before": before, "epoch": self.rollout.state.epoch,
+                "price": "two policies may be gone by until all hear of this"})
+        self._flush()
+        return Reply(not why, why or f"epoch {self.rollout.state.epoch}, "
+                                     f"{len(self.rollout.state.voters)} vote")
--- a/lemonridge/lab/bent.py
+++ b/lemonridge/lab/bent.py
@@ -118,8 +118,8 @@
 
     real = leases.Holder.learnt
 
-    def learnt(self: leases.Holder, epoch: int, now_us: int) -> None:
-        real(self, epoch, now_us)
+    def learnt(self: leases.Holder, epoch: int, voters: tuple[int, ...], now_us: int) -> None:
+        real(self, epoch, voters, now_us)
         self.uses = (epoch, epoch)
 
     leases.Holder.learnt = learnt  # type: ignore[method-assign]
--- a/lemonridge/lab/checkers/rollout.py
+++ b/lemonridge/lab/checkers/rollout.py
@@ -35,6 +35,11 @@
     lags: int = 0  # ticks that the clocks of brokers may lose in all
     flights: int = 2  # messages that are under way at once; one more is lost
     restarts: int = 0
+    sets: tuple[tuple[int, ...], ...] = ()  # of the leases: who votes after each epoch; empty: always all
+    granted: tuple[tuple[int, ...], ...] = ()  # by broker: whose grants it holds at first; empty: all of them
+
+    def voters(self, epoch: int) -> tuple[int, ...]:
+        return self.sets[epoch] if self.sets else tuple(range(MEMBERS))
 
 
 # Agreement
@@ -163,6 +168,7 @@
     ticks: int
     lags: int
     restarts: int
+    proposed: int  # the highest epoch that may be accepted
 
 
 def _lessor(rows: tuple[Any, ...]) -> Lessor:
@@ -180,9 +186,9 @@
     return (max(made.quiet_us, now), *rows)
 
 
-def _holder(row: tuple[Any, ...]) -> Holder:
+def _holder(row: tuple[Any, ...], bounds: Bounds) -> Holder:
     uses, want, ask, asks, grants = row
-    made = Holder(SPAN, tuple(range(MEMBERS)), uses, want, ask)
+    made = Holder(SPAN, bounds.voters(want), uses, want, bounds.voters(want - 1) if want else (), ask)
     made._asks = {number: _Asked(*told) for number, *told in asks}
     made._grants = {voter: (told, end) for voter, told, end in grants}
     return made
@@ -238,18 +244,20 @@
 
     def vote(fleet: Fleet, voter: int, n: int, life: int, ask: int, uses: Interval, want: int
              ) -> tuple[Fleet, Interval]:
+        if voter not in bounds.voters(fleet.holders[voter][1]):
+            return fleet, NOTHING
         made = _lessor(fleet.lessors[voter])
         told = made.asked(n, life, ask, uses, want, fleet.newest[voter], fleet.at)
         return fleet._replace(lessors=_put(fleet.lessors, voter, _lessor_rows(made, fleet.at))), told
 
     def asking(fleet: Fleet, n: int) -> Iterator[tuple[str, Fleet]]:
-        made = _holder(fleet.holders[n])
+        made = _holder(fleet.holders[n], bounds)
         ask, uses, want = made.ask(clock(fleet, n))
         after, told = vote(fleet._replace(asks=_put(fleet.asks, n, fleet.asks[n] - 1)), n, n, fleet.lives[n],
                            ask, uses, want)  # its own vote needs no message
         made.granted(n, ask, told, clock(fleet, n))
         after = with_holder(after, n, made)
-        for name, one in answered(after, n, ask, uses, want, [v for v in range(MEMBERS) if v != n]):
+        for name, one in answered(after, n, ask, uses, want, [v for v in made.lenders() if v != n]):
             yield f"{n} asks{name}", one
 
     def answered(fleet: Fleet, n: int, ask: int, uses: Interval, want: int,
@@ -265,7 +273,7 @@
                 message = ("ask", voter, n, one.lives[n], ask, uses, want)
                 yield f", {voter} later{name}", one._replace(sent=tuple(sorted((*one.sent, message))))
             after, told = vote(one, voter, n, one.lives[n], ask, uses, want)
-            made = _holder(after.holders[n])
+            made = _holder(after.holders[n], bounds)
             made.granted(voter, ask, told, clock(after, n))
             yield f", {voter} answers{name}", with_holder(after, n, made)
 
@@ -280,7 +288,7 @@
             for one in posted(after, answers):
                 yield f"comes {message}", one
         elif life == fleet.lives[n]:
-            made = _holder(fleet.holders[n])
+            made = _holder(fleet.holders[n], bounds)
             made.granted(voter, ask, message[5], clock(fleet, n))
             yield f"comes {message}", with_holder(fleet, n, made)
 
@@ -288,13 +296,18 @@
         for n in range(MEMBERS):
             if fleet.asks[n]:
                 yield from asking(fleet, n)
-            if fleet.newest[n] == fleet.chosen < bounds.epochs:
+            made = _holder(fleet.holders[n], bounds)
+            alone = (fleet.chosen, fleet.chosen)
+            if fleet.proposed == fleet.chosen < bounds.epochs and made.uses == alone and made.valid(
+                    clock(fleet, n)):
+                yield f"{n} proposes", fleet._replace(proposed=fleet.chosen + 1)
+            voters = bounds.voters(fleet.chosen)
+            if n in voters and fleet.newest[n] == fleet.chosen < fleet.proposed:
                 newest = _put(fleet.newest, n, fleet.chosen + 1)
-                more = sum(one > fleet.chosen for one in newest) > MEMBERS // 2
+                more = sum(newest[one] > fleet.chosen for one in voters) > len(voters) // 2
                 yield f"{n} accepts", fleet._replace(newest=newest, chosen=fleet.chosen + more)
-            made = _holder(fleet.holders[n])
             if made.want < fleet.chosen:
-                made.learnt(fleet.chosen, clock(fleet, n))
+                made.learnt(fleet.chosen, bounds.voters(fleet.chosen), clock(fleet, n))
                 known = _put(fleet.newest, n, max(fleet.newest[n], fleet.chosen))
                 yield f"{n} learns {fleet.chosen}", with_holder(fleet._replace(newest=known), n, made)
             if fleet.lags:
@@ -314,21 +327,21 @@
             yield "time passes", fleet._replace(at=at, ticks=fleet.ticks - 1, lessors=lessors)
 
     def wrong(fleet: Fleet) -> str:
-        held = [_holder(row) for row in fleet.holders]
+        held = [_holder(row, bounds) for row in fleet.holders]
         used = [one.uses if one.valid(clock(fleet, n)) else NOTHING for n, one in enumerate(held)]
         return "" if common(used) else f"they go by {used}"
 
-    everyone = range(MEMBERS)
+    everyone, voters = range(MEMBERS), bounds.voters(0)
     lessors, holders = [Lessor(SPAN, ERROR, 0) for _ in everyone], []
     for n in everyone:  # all go by epoch 0 at first, by leases as good as new
-        made = Holder(SPAN, tuple(everyone))
+        made = Holder(SPAN, voters)
         ask, uses, want = made.ask(10)
-        for voter in everyone:
+        for voter in bounds.granted[n] if bounds.granted else voters:
             made.granted(voter, ask, lessors[voter].asked(n, 1, ask, uses, want, 0, 10), 10)
         holders.append(_holder_row(made, 10))
     start = Fleet(tuple(_lessor_rows(one, 10) for one in lessors), tuple(holders), (1,) * MEMBERS,
                   (0,) * MEMBERS, 0, 10, (0,) * MEMBERS, (), (bounds.asks,) * MEMBERS, bounds.ticks,
-                  bounds.lags, bounds.restarts)  # fmt: skip
+                  bounds.lags, bounds.restarts, 0 if bounds.sets else bounds.epochs)  # fmt: skip
     return start, moves, wrong
 
 
--- a/lemonridge/lab/measure/rollout.py
+++ b/lemonridge/lab/measure/rollout.py
@@ -74,6 +74,15 @@
         if wiped:
             self.disks[n] = None
 
+    def spares(self, n: int) -> bool:
+        """Whether a store may be lost: a majority of the voters would have theirs, nothing is voted on."""
+        kept = [msgspec.msgpack.decode(disk, type=machine.Kept) if disk else None for disk in self.disks]
+        states = [document.decode(one.state) for one in kept if one and one.state]
+        newest = max(states, key=lambda one: one.epoch)
+        left = sum(one is not None and m != n and newest.voters.get(self.names[m]) == one.ident
+                   for m, one in enumerate(kept))  # fmt: skip
+        return left > len(newest.voters) // 2 and not any(one and one.took for one in kept)
+
     def broker(self, n: int) -> Rollout:
         made = self.brokers[n]
         assert made is not None
--- a/lemonridge/operate/calls.py
+++ b/lemonridge/operate/calls.py
@@ -23,9 +23,14 @@
     POLICY = "policy"
     PROPOSE = "policy-propose"
     ABORT = "policy-abort"
+    ADMIT = "policy-admit"
+    RETIRE = "policy-retire"
+    FORCE = "policy-force"
 
 
-NAMING = frozenset((Call.DISABLE, Call.ENABLE))  # these name a node
+NAMING = frozenset((Call.DISABLE, Call.ENABLE, Call.RETIRE))  # these name a node, or a broker
+TELLING = {one.value.encode(): one for one in (Call.PROPOSE, Call.FORCE)}  # these carry JSON
+OF_POLICY = frozenset((Call.POLICY, Call.PROPOSE, Call.ABORT, Call.ADMIT, Call.RETIRE, Call.FORCE))
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +38,8 @@
     """One call as it was read; `node` is empty where none is named."""
 
     call: Call
-    node: str = ""
-    text: str = ""  # of a proposal: JSON with the policy and a note
+    node: str = ""  # or the broker
+    text: str = ""  # JSON: of a proposal the policy and a note, of the emergency call the lost and a note
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +69,8 @@
     if len(line) > longest(line):
         raise BadCallError("the line is too long")
     word, _, rest = line.partition(b" ")
-    if word == Call.PROPOSE.value.encode():
-        return Order(Call.PROPOSE, text=rest.decode("utf-8", "replace").strip())
+    if word in TELLING:
+        return Order(TELLING[word], text=rest.decode("utf-8", "replace").strip())
     try:
         words = line.decode("ascii").split()
     except UnicodeDecodeError:
@@ -81,7 +86,7 @@
             raise BadCallError(f"{call.value} takes no further word")
         return Order(call)
     if len(words) != 2:
-        raise BadCallError(f"{call.value} takes one node id")
+        raise BadCallError(f"{call.value} takes one {'broker' if call is Call.RETIRE else 'node id'}")
     if not _IDENT.fullmatch(words[1]):
         raise BadCallError("the node id cannot be read")
     return Order(call, words[1])
--- a/lemonridge/policies.py
+++ b/lemonridge/policies.py
@@ -25,6 +25,10 @@
 
 REFUSED, UNKNOWN = 1, 3
 LOOK_S = 0.1  # between two looks at a change that is waited for
+METAVARS = {"file": "FILE", "address": "ADDR", "name": "NAME"}
+PRICE = """lemonridge: this goes on without a majority of the voters. If those that are called lost are only
+cut off and still serve, two policies are gone by, so limits may be passed twice, until the two sides hear
+each other; what the lost decided meanwhile is void then. With --accept-two-policies it is done."""
 
 
 def parser() -> argparse.ArgumentParser:
@@ -36,7 +40,7 @@
         made: argparse.ArgumentParser = parts.add_parser(name, help=text)
         for one in arguments:
             many = "+" if one == "address" and name == "status" else None
-            made.add_argument(one, nargs=many, metavar={"file": "FILE", "address": "ADDR"}[one])
+            made.add_argument(one, nargs=many, metavar=METAVARS[one])
         return made
 
     part("init", "make the store of a new fleet's broker", "file")
@@ -51,6 +55,15 @@
     status.add_argument("--json", action="store_true")
     part("history", "the last changes", "address")
     part("abort", "call off a change that is not put to the vote yet", "address")
+    admit = part("admit", "let the broker at ADDR vote", "address")
+    retire = part("retire", "take a broker's vote away, for good", "name", "address")
+    for one in (admit, retire):
+        one.add_argument("--wait", type=float, default=0.0, metavar="S", help="until it is in force, or not")
+    force = part("force", "EMERGENCY: go on without a majority of the voters", "address")
+    force.add_argument("--lost", action="append", required=True, metavar="NAME",
+                       help="a voter that is lost for good; once for each")
+    force.add_argument("--note", default="", help="why, for the history and the log")
+    force.add_argument("--accept-two-policies", action="store_true", help="the price is understood")
     return top
 
 
@@ -87,24 +100,41 @@
         print("\n".join(_seen(address)["history"]) or "nothing has changed since the brokers' own files")
     elif options.part == "abort":
         print(_call(address, "policy-abort"))
+    elif options.part == "force":
+        return _force(options, address)
+    elif options.part == "propose":
+        proposed = {"policy": msgspec.to_builtins(read(options.file)), "note": options.note,
+                    "dry": options.dry_run}  # fmt: skip
+        line = "policy-propose " + orjson.dumps(proposed).decode()
+        return _propose(line, address, 0.0 if options.dry_run else options.wait)
     else:
-        return _propose(options, address)
+        line = "policy-admit" if options.part == "admit" else f"policy-retire {options.name}"
+        return _propose(line, address, options.wait)
     return 0
 
 
-def _propose(options: argparse.Namespace, address: Address) -> int:
-    told = {"policy": msgspec.to_builtins(read(options.file)), "note": options.note, "dry": options.dry_run}
+def _force(options: argparse.Namespace, address: Address) -> int:
+    if not options.accept_two_policies:
+        print(PRICE, file=sys.stderr)
+        return REFUSED
+    told = {"lost": options.lost, "note": options.note}
+    print(_call(address, "policy-force " + orjson.dumps(told).decode()))
+    return 0
+
+
+def _propose(line: str, address: Address, wait_s: float) -> int:
+    """Say a proposal, and follow it for `wait_s` seconds."""
     begun = _seen(address)["results_ended"]
-    print(_call(address, "policy-propose " + orjson.dumps(told).decode()))
-    until = time.monotonic() + options.wait
-    while not options.dry_run and time.monotonic() < until:
+    print(_call(address, line))
+    until = time.monotonic() + wait_s
+    while time.monotonic() < until:
         seen = _seen(address)
         if seen["results_ended"] > begun:
             end, why, epoch = seen["results"][-1]
             print(f"{end}: {why}" if why else f"{end}, epoch {epoch}")
             return 0 if end == "in force" else UNKNOWN if end == "unknown" else REFUSED
         time.sleep(LOOK_S)
-    return UNKNOWN if options.wait and not options.dry_run else 0
+    return UNKNOWN if wait_s else 0
 
 
 def _status(addresses: list[Address], as_json: bool) -> int:
--- a/lemonridge/rollout/document.py
+++ b/lemonridge/rollout/document.py
@@ -19,7 +19,8 @@
 from lemonridge import api
 
 VALUE_MAX = 24_576  # bytes of a state: what is voted on, told and kept
-PLANS_MAX, CLASSES_MAX, VOTERS_MAX = 64, 32, 9
+PLANS_MAX, CLASSES_MAX = 64, 32
+VOTERS_MAX = 5  # more make no change safer against two that die
 HISTORY_MAX = 16  # changes that are remembered by a line each
 NOTE_MAX = 120  # characters
 
@@ -80,7 +81,7 @@
     floor: Policy  # what a broker without a lease goes by: every policy contains it
     by: str = ""
     note: Annotated[str, Meta(max_length=NOTE_MAX)] = ""
-    kind: Literal["policy", "voter"] = "policy"
+    kind: Literal["policy", "voter", "emergency"] = "policy"
     history: tuple[str, ...] = ()
 
 
@@ -135,11 +136,41 @@
 
 
 def admitted(before: State, voter: str, ident: int, by: str) -> State:
-    """The state after a voter came back with a new store: it votes again from the next change on."""
-    made = successor(before, before.policy, by, f"{voter} votes with a new store")
+    """The state after a member was let in, for the first time or with a new store: it votes from the next
+    change on."""
+    how = "with a new store" if voter in before.voters else "from now on"
+    made = successor(before, before.policy, by, f"{voter} votes {how}")
     return msgspec.structs.replace(made, voters={**before.voters, voter: ident}, kind="voter")
 
 
+def retired(before: State, voter: str, by: str) -> State:
+    """The state after a voter votes no longer."""
+    made = successor(before, before.policy, by, f"{voter} votes no longer")
+    voters = {told: ident for told, ident in before.voters.items() if told != voter}
+    return msgspec.structs.replace(made, voters=voters, kind="voter")
+
+
+def forced(before: State, epoch: int, voters: dict[str, int], by: str, note: str) -> State:
+    """The state of an emergency call: the policy as it was, with other voters, which no majority decided."""
+    made = successor(before, before.policy, by, note)
+    line = f"{epoch} {by}: EMERGENCY, only {', '.join(voters)}: {note}"[: NOTE_MAX + 60]
+    return msgspec.structs.replace(made, epoch=epoch, voters=voters, kind="emergency",
+                                   history=(*before.history, line)[-HISTORY_MAX:])  # fmt: skip
+
+
+def stepped(before: State, after: State, members: Iterable[str]) -> str:
+    """Why who votes may not change so, or nothing: by one voter at a time, who is a member, and never to
+    none."""
+    pairs = set(before.voters.items()) ^ set(after.voters.items())
+    if len({told for told, _ in pairs}) > 1:
+        return "more than one voter changes at once"
+    if not after.voters or len(after.voters) > VOTERS_MAX:
+        return f"1 to {VOTERS_MAX} vote"
+    if strange := sorted(set(after.voters) - set(members)):
+        return f"'{strange[0]}' is no member here"
+    return ""
+
+
 # What a broker's own file says, and what it makes of a policy
 
 
--- a/lemonridge/rollout/leases.py
+++ b/lemonridge/rollout/leases.py
@@ -15,6 +15,10 @@
 
 A voter that took a value in slot E+1, or knows that E+1 is decided, renews no lease that ends at E. So once
 E+1 is chosen no lease of E outlives SPAN: each needs a voter of the majority that chose.
+
+Who votes may change with an epoch, by one voter at a time. Majorities of n and of n+1 voters of which n are
+alike share one, so the argument holds between neighbours; for an interval of two epochs a majority of each
+one's voters is needed, and E+2 is proposed only under a lease of E+1 alone, when no lease of E is out.
 """
 
 from __future__ import annotations
@@ -113,24 +117,32 @@
     """What one incarnation of a broker may go by."""
 
     span_us: int
-    voters: tuple[int, ...]
+    voters: tuple[int, ...]  # of `want`
     uses: Interval = NOTHING  # what it goes by while it has grants for that
     want: int = 0  # the newest epoch that it holds whole
+    before: tuple[int, ...] = ()  # voters of the epoch before `want`, while that is gone by too
     _ask: int = 0
     _asks: dict[int, _Asked] = field(default_factory=dict)
     _grants: dict[int, tuple[Interval, int]] = field(default_factory=dict)  # by voter: of what, until when
 
-    def learnt(self, epoch: int, now_us: int) -> None:
-        """An epoch is decided and held whole. Who goes by the one before goes by both; who missed one in
-        between goes by nothing until it has the new one."""
+    def learnt(self, epoch: int, voters: tuple[int, ...], now_us: int) -> None:
+        """An epoch is decided and held whole, and who votes on the next. Who goes by the one before goes by
+        both; who missed one in between goes by nothing until it has the new one."""
         if epoch <= self.want and self.uses != NOTHING:
             return
-        self.want = max(self.want, epoch)
-        if self.uses != NOTHING and self.uses[0] == self.uses[1] == epoch - 1 and self.valid(now_us):
+        follows = self.uses != NOTHING and self.uses[0] == self.uses[1] == epoch - 1 and self.valid(now_us)
+        if epoch > self.want:
+            self.want, self.before, self.voters = epoch, self.voters, voters
+        if follows:
             self.uses = (epoch - 1, epoch)
         elif self.uses != (epoch, epoch):
             self.uses = NOTHING
 
+    def lenders(self) -> tuple[int, ...]:
+        """Whose grants count for what is gone by and for what is wanted."""
+        two = self.uses != NOTHING and self.uses[0] < self.want
+        return tuple(sorted({*self.voters, *self.before})) if two else self.voters
+
     def ask(self, now_us: int) -> tuple[int, Interval, int]:
         """A question to all voters, to leave at once: its number, what is gone by, what is wanted."""
         if self.uses != NOTHING and not self.valid(now_us):
@@ -144,7 +156,7 @@
     def granted(self, voter: int, ask: int, told: Interval, now_us: int) -> bool:
         """An answer. Whether what may be gone by is another thing now."""
         asked = self._asks.get(ask)
-        if asked is None or voter not in self.voters or told == NOTHING:
+        if asked is None or voter not in self.lenders() or told == NOTHING:
             return False
         if told not in ((asked.want, asked.want), asked.uses):
             return False
@@ -159,10 +171,15 @@
         return False
 
     def _count(self, interval: Interval, now_us: int) -> bool:
-        """Whether a majority grants what keeps all others off this interval."""
+        """Whether a majority, of each epoch's voters, grants what keeps all others off this interval."""
         low, high = interval
-        return sum(low <= told[0] and told[1] <= high and end_us > now_us
-                   for told, end_us in self._grants.values()) > len(self.voters) // 2
+        grants = [who for who, (told, end_us) in self._grants.items()
+                  if low <= told[0] and told[1] <= high and end_us > now_us]  # fmt: skip
+        return all(sum(who in voters for who in grants) > len(voters) // 2 for voters in self._sets(interval))
+
+    def _sets(self, interval: Interval) -> list[tuple[int, ...]]:
+        """The voters of each of its epochs."""
+        return [self.voters if epoch == self.want else self.before for epoch in sorted(set(interval))]
 
     def valid(self, now_us: int) -> bool:
         """Whether it may go by `uses` at this moment."""
@@ -173,10 +190,13 @@
         if self.uses == NOTHING:
             return 0
         low, high = self.uses
-        ends = sorted((end for told, end in self._grants.values() if low <= told[0] and told[1] <= high),
-                      reverse=True)
-        need = len(self.voters) // 2 + 1
-        return ends[need - 1] if len(ends) >= need else 0
+        least = []
+        for voters in self._sets(self.uses):
+            ends = sorted((end for who, (told, end) in self._grants.items()
+                           if who in voters and low <= told[0] and told[1] <= high), reverse=True)
+            need = len(voters) // 2 + 1
+            least.append(ends[need - 1] if len(ends) >= need else 0)
+        return min(least)
 
 
 def common(intervals: Iterable[Interval]) -> bool:
--- a/lemonridge/rollout/machine.py
+++ b/lemonridge/rollout/machine.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
 
@@ -48,7 +48,8 @@
 PIECE, PIECES = 176, 8  # bytes of a piece; how many are asked for at a time
 STATES_MAX = 8  # states kept by name
 RESULTS = 8  # ends of changes that are remembered
-VOTERS_MAX = 5  # the first members of the roster: more make no change safer against two that die
+ERA = 1 << 16  # an emergency begins at the next multiple: no decision of those who are lost has its epoch
+SILENT = 2  # leases without a word, after which a voter may be called lost
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +129,6 @@
         none, and then `ident` is a new one's; `judge` says why this broker could not decide by a policy, or
         nothing."""
         self.me, self.names, self.life, self._judge = me, names, life, judge
-        self.voters = tuple(range(min(len(names), VOTERS_MAX)))
         self.out: list[Action] = []
         self._random = Random(f"{seed}/rollout")
         self.states: dict[bytes, bytes] = {}  # by name
@@ -144,17 +144,17 @@
         if told is not None:
             self.voter.promised = told.promised
         self.lessor = Lessor(span_us, error_us, now_us)
-        self.holder = Holder(span_us, self.voters, want=self.state.epoch)
+        self.holder = Holder(span_us, tuple(self.idents(self.state)), want=self.state.epoch)
         self.span_us = span_us
         self.change: Change | None = None
         self.results: list[Result] = []  # the last ones
         self.ended = 0  # how many there were
         self._fetches: dict[bytes, _Fetch] = {}
-        self._asked_us = now_us - span_us
+        self._begun_us, self._asked_us = now_us, now_us - span_us
         self._took_us = now_us
         self._top = 0  # the highest round that was heard of
         self._told: dict[int, tuple[int, int]] = {}  # by member: epoch, and when it was heard
-        self.counts = {"changes": 0, "taken_over": 0, "refused": 0}
+        self.counts = {"changes": 0, "taken_over": 0, "refused": 0, "emergencies": 0}
         self._kept = kept
         if kept is None:
             self._keep()
@@ -181,22 +181,93 @@
     @property
     def votes(self) -> bool:
         """Whether this broker's votes count."""
-        return self.me in self.voters and self.state.voters.get(self.names[self.me]) == self.ident
+        return self.state.voters.get(self.names[self.me]) == self.ident
+
+    def idents(self, state: State) -> dict[int, int]:
+        """The stores that vote after a state, by member; one that is no member here has a number past them,
+        counts, and is never heard."""
+        numbers = {name: number for number, name in enumerate(self.names)}
+        strange = sorted(set(state.voters) - set(numbers))
+        numbers |= {name: len(self.names) + more for more, name in enumerate(strange)}
+        return {numbers[name]: state.voters[name] for name in sorted(state.voters, key=numbers.__getitem__)}
 
     # Proposing
 
     def propose(self, policy: Policy, note: str, now_us: int) -> str:
         """Begin a change; the reason why it cannot begin, or nothing. Its end comes in `results`."""
-        if self.change is not None:
-            return "a change is under way"
-        if self.mode(now_us) != (self.state.epoch, self.state.epoch):
-            return "this broker holds no lease of the policy in force alone, so it may not know the newest"
+        if why := self._hindered(now_us):
+            return why
         if policy == self.state.policy:
             return "nothing differs"
         if why := self.wrong(policy):
             return why
         return self._begin(document.successor(self.state, policy, self.names[self.me], note), now_us)
 
+    def admit(self, now_us: int) -> str:
+        """Begin to let this broker vote; as `propose`."""
+        own = self.names[self.me]
+        if why := self._hindered(now_us):
+            return why
+        if self.votes:
+            return "it votes already"
+        made = document.admitted(self.state, own, self.ident, own)
+        return document.stepped(self.state, made, self.names) or self._begin(made, now_us)
+
+    def retire(self, voter: str, now_us: int) -> str:
+        """Begin to take a vote away; as `propose`."""
+        if why := self._hindered(now_us):
+            return why
+        if voter not in self.state.voters:
+            return f"'{voter}' does not vote"
+        made = document.retired(self.state, voter, self.names[self.me])
+        return document.stepped(self.state, made, self.names) or self._begin(made, now_us)
+
+    def _hindered(self, now_us: int) -> str:
+        """Why nothing can be proposed here now, or nothing."""
+        if self.change is not None:
+            return "a change is under way"
+        if self.mode(now_us) != (self.state.epoch, self.state.epoch):
+            return "this broker holds no lease of the policy in force alone, so it may not know the newest"
+        return ""
+
+    def force(self, lost: Collection[str], note: str, now_us: int) -> str:
+        """The emergency call: go on without voters that are lost for good, with those that are left, or this
+        broker alone where none is. The reason why not, or nothing. Nobody decides it. If the lost are only
+        cut off, they may go on by another policy until they hear of this, and what they decide is void."""
+        numbers = {name: number for number, name in enumerate(self.names)}
+        if self.holder.valid(now_us):
+            return "a majority of the voters is heard: change the policy, or retire a voter"
+        if strange := sorted(set(lost) - set(self.state.voters)):
+            return f"'{strange[0]}' does not vote"
+        left = {name: ident for name, ident in self.state.voters.items() if name not in lost}
+        if len(left) > len(self.state.voters) // 2:
+            return "a majority of the voters is left: wait until it is heard"
+        own, quiet_us = self.names[self.me], SILENT * self.span_us
+        if own in lost:
+            return "this broker is not lost"
+        if now_us - self._begun_us < quiet_us:
+            return f"this broker has listened for less than {quiet_us / 1e6:g} s"
+        for name in self.state.voters:
+            at_us = self._told.get(numbers.get(name, -1), (0, now_us - quiet_us))[1]
+            heard = name == own or now_us - at_us < quiet_us
+            if name in lost and heard:
+                return f"'{name}' was heard {(now_us - at_us) / 1e6:.1f} s ago: it is not lost"
+            if name not in lost and not heard:
+                return f"'{name}' is not heard: bring it up, or call it lost"
+        if not left or own in left:
+            left[own] = self.ident
+        epoch = (self.state.epoch // ERA + 1) * ERA + self.me
+        try:
+            data = document.encode(document.forced(self.state, epoch, left, own, note))
+        except PolicyError as error:
+            return str(error)
+        self.counts["emergencies"] += 1
+        made = self._store(data)
+        for other in range(len(self.names)):
+            self._say(other, Chosen(epoch, made))
+        self._decided(epoch, made, now_us)
+        return ""
+
     def _begin(self, state: State, now_us: int, mine: bool = True) -> str:
         try:
             data = document.encode(state)
@@ -237,13 +308,15 @@
             self._put(change, now_us)
 
     def _check(self, change: Change, now_us: int) -> None:
-        """Ask all whether they could, then put it to the vote."""
+        """Ask all whether they could, then put it to the vote. Of those who vote afterwards a majority must
+        have answered too, or nothing could be decided any more."""
         for who, why in change.opinions.items():
             if why:
                 self._end(Result("nowhere", f"{self.names[who]}: {why}"))
                 return
         silent = [who for who in range(len(self.names)) if who not in change.opinions]
-        sure = sum(who in change.opinions for who in self.voters) > len(self.voters) // 2
+        sets = (self.idents(self.state), self.idents(document.decode(change.data)))
+        sure = all(sum(who in change.opinions for who in voters) > len(voters) // 2 for voters in sets)
         if not silent or (now_us - change.begun_us >= CHECK_US and sure):
             self._vote(change, now_us)
         elif now_us - change.said_us >= AGAIN_US:
@@ -254,8 +327,7 @@
     def _vote(self, change: Change, now_us: int) -> None:
         """A new try, by a round that is higher than any heard of."""
         self._top = max(self._top, turn_of(self.voter.promised)) + 1
-        voters = {who: self.state.voters.get(self.names[who], 0) for who in self.voters}
-        change.proposer = Proposer(self.me, change.slot, change.name, voters, self._top)
+        change.proposer = Proposer(self.me, change.slot, change.name, self.idents(self.state), self._top)
         self._put(change, now_us)
 
     def _put(self, change: Change, now_us: int) -> None:
@@ -345,7 +417,7 @@
         self.voter.decided(slot)
         self._keep()
         self.fault = self._judge(self.state.policy)
-        self.holder.learnt(slot, now_us)
+        self.holder.learnt(slot, tuple(self.idents(self.state)), now_us)
         self._asked_us = 0
         if self.change is not None and self.change.slot <= slot:
             mine = self.change.name == name
@@ -390,6 +462,10 @@
         data = b"".join(found.pieces[n] for n in range(found.count))
         if document.name(data) != item.name:
             return  # spoilt, or two states in one: it is asked for anew when it is needed
+        try:
+            document.decode(data)
+        except PolicyError:
+            return  # whole, and no state to this program: a member of another version, or one that lies
         self._store(data)
         if found.slot:
             self._decided(found.slot, item.name, now_us)
@@ -423,7 +499,12 @@
         """Ask every voter."""
         self._asked_us = now_us
         ask, uses, want = self.holder.ask(now_us)
-        for who in self.voters:
+        lenders = self.holder.lenders()
+        if self.state.epoch >= ERA:  # after an emergency others may ask other voters, and never hear of it
+            strangers = [who for who in range(len(self.names)) if who not in lenders]
+            if strangers:
+                self._say(self._random.choice(strangers), Chosen(self.state.epoch, self.name))
+        for who in lenders:
             if who == self.me:
                 told = self._granting(self.me, self.life, ask, uses, want, self.name, now_us)
                 if self.votes:
@@ -454,7 +535,8 @@
             if item.epoch > self.state.epoch:
                 self._learn(who, item.epoch, item.name, now_us)
             told = (item.low, item.high) if item.low <= item.high else NOTHING
-            if who in self.voters and self.state.voters.get(self.names[who]) == item.ident:
+            states = [one for one in (self.state, self.before) if one is not None]
+            if any(one.voters.get(self.names[who]) == item.ident for one in states):
                 self.holder.granted(who, item.ask, told, now_us)
         elif isinstance(item, (Prepare, Accept)):
             self._voting(who, item, now_us)
@@ -488,7 +570,12 @@
             self._fetches[item.name].check = item
             return
         try:
-            why = self.wrong(document.decode(data).policy)
+            state = document.decode(data)
+            why = self.wrong(state.policy)
+            if not why and state.prior == self.name.hex():
+                why = document.stepped(self.state, state, self.names)
+            if state.voters.get(self.names[self.me], self.ident) != self.ident and state.kind == "voter":
+                why = why or "its store is lost, it has to be let in first"
         except PolicyError as error:
             why = str(error)
         self.counts["refused"] += bool(why)
@@ -512,9 +599,10 @@
                 self.change = Change(self.states[self.voter.value], self.voter.value, self.voter.slot, now_us,
                                      mine=False)
                 self._vote(self.change, now_us)
-        elif self.change is None and self.me in self.voters and not self.votes and self.mode(now_us) == alone:
-            own = self.names[self.me]  # with a new store it votes again once the others say so
-            self._begin(document.admitted(self.state, own, self.ident, own), now_us, mine=False)
+        elif self.change is None and not self.votes and self.mode(now_us) == alone:
+            own = self.names[self.me]
+            if own in self.state.voters:  # with a new store it votes again once the others say so
+                self._begin(document.admitted(self.state, own, self.ident, own), now_us, mine=False)
         self._advance(now_us)
 
     def wake_us(self, now_us: int) -> int:
@@ -525,7 +613,7 @@
         return now_us + (SWITCH_US // 2 if busy else self.span_us // 8)
 
     def _say(self, who: int, item: Item) -> None:
-        if who != self.me:
+        if who != self.me and who < len(self.names):
             self.out.append(Say(who, item))
 
     def _keep(self) -> None:
@@ -545,7 +633,8 @@
             "epoch": self.state.epoch, "state": self.name.hex(),
             "goes_by": "floor" if mode == NOTHING else list(mode), "fault": self.fault,
             "lease_ms": max(0, self.holder.until_us() - now_us) // 1000,
-            "votes": self.votes, "voter": self.me in self.voters,
+            "votes": self.votes, "voter": self.names[self.me] in self.state.voters,
+            "voters": sorted(self.state.voters),
             "promised": self.voter.promised, "accepted": self.voter.took,
             "under_way": None if change is None else {
                 "slot": change.slot, "mine": change.mine,
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -210,12 +210,17 @@
         net.run(2.5)
         for turn in range(14):
             n = random.randrange(size)
-            what = random.randrange(8)
-            if what < 3 and net.brokers[n] is not None:
+            what = random.randrange(10)
+            if what >= 8 and net.brokers[n] is not None:  # one voter more, or one less
+                voters = sorted(net.broker(n).state.voters)
+                if net.broker(n).votes and len(voters) > 2:
+                    net.broker(n).retire(random.choice(voters), net.now)
+                elif not net.broker(n).votes:
+                    net.broker(n).admit(net.now)
+            elif what < 3 and net.brokers[n] is not None:
                 net.broker(n).propose(policy(float(random.randrange(6, 60))), f"turn {turn}", net.now)
             elif what == 3 and net.brokers[n] is not None and net.brokers.count(None) < size // 2:
-                wiped = random.random() < 0.3 and all(b is None or b.votes for b in net.brokers[:5])
-                net.kill(n, wiped)
+                net.kill(n, random.random() < 0.3 and net.spares(n))
             elif what == 4:
                 net.stopped = {n} if random.random() < 0.7 else set()
             elif what == 5:
@@ -234,6 +239,145 @@
         net.until(lambda: net.everywhere(max(b.state.epoch for b in net.brokers if b)), 20.0)
 
 
+class Voters(unittest.TestCase):
+    """Who votes changes by one at a time, through the same decisions."""
+
+    def test_a_voter_is_retired_and_another_let_in_and_then_decides(self) -> None:
+        net = Net(6).steady()
+        self.assertIn("5 vote", net.broker(5).admit(net.now))
+        net.kill(4)  # for good
+        self.assertEqual(net.broker(0).retire("b4", net.now), "")
+        net.until(lambda: net.everywhere(1), 4.5)
+        self.assertEqual(net.broker(5).admit(net.now), "")
+        net.until(lambda: net.everywhere(2), 2.0)
+        self.assertTrue(net.broker(5).votes)
+        net.kill(0)
+        net.kill(1)  # two of five: the new one is needed
+        net.until(lambda: net.broker(2).propose(policy(12), "half", net.now) == "", 2.0)
+        net.until(lambda: net.everywhere(3), 6.0)
+        self.assertEqual(net.broker(5).state.policy, policy(12))
+        net.start(4)  # the retired one comes back: it goes by the policy and does not vote
+        net.until(lambda: net.everywhere(3), 4.0)
+        self.assertFalse(net.broker(4).votes)
+
+    def test_a_vote_is_not_taken_away_where_too_few_would_be_left_to_decide(self) -> None:
+        net = Net(3).steady()
+        net.kill(2, wiped=True)
+        self.assertEqual(net.broker(0).retire("b1", net.now), "")  # of b0 and b2 both would be needed
+        net.run(7.0)
+        self.assertEqual(net.broker(0).results[-1].end, "nowhere")
+        net.start(2)
+        net.until(lambda: net.broker(2).votes and net.everywhere(net.broker(0).state.epoch), 8.0)
+
+    def test_what_may_not_be_asked_gets_a_reason(self) -> None:
+        net = Net(3).steady()
+        self.assertEqual(net.broker(0).admit(net.now), "it votes already")
+        self.assertEqual(net.broker(0).retire("nobody", net.now), "'nobody' does not vote")
+        self.assertEqual(net.broker(0).retire("b2", net.now), "")
+        self.assertEqual(net.broker(0).retire("b1", net.now), "a change is under way")
+        net.until(lambda: net.everywhere(1), 2.0)
+        net.cut = {(0, 1), (1, 0)}
+        net.run(2.5)
+        self.assertIn("no lease", net.broker(0).retire("b1", net.now))
+
+    def test_a_state_that_changes_two_voters_or_names_a_stranger_is_refused(self) -> None:
+        before = Net(3).genesis
+        for voters, word in (({"b0": 0}, "more than one"), ({"b0": 0, "b1": 0, "b2": 0, "x": 0}, "no member"),
+                             ({"b0": 5, "b1": 0}, "more than one"), ({"b0": 0, "b1": 0}, "")):  # fmt: skip
+            after = document.successor(before, before.policy, "b0", "")
+            after = document.msgspec.structs.replace(after, voters=voters)
+            self.assertEqual(bool(word), bool(told := document.stepped(before, after, ("b0", "b1", "b2"))))
+            self.assertIn(word, told)
+
+    def test_every_state_of_neighbours_and_the_faults_that_are_found_there(self) -> None:
+        three, held = (0, 1, 2), ((0, 1), (0, 1), (1, 2))
+        for bounds in (checker.Bounds(flights=0, ticks=1, sets=(three, (0, 1)), granted=held),
+                       checker.Bounds(flights=0, ticks=1, sets=((0, 1), three), granted=((0, 1),) * 3)):
+            found = checker.leases(bounds)
+            self.assertEqual((found.broken, found.whole), ("", True))
+        two = checker.Bounds(flights=0, ticks=1, sets=(three, (0,)), granted=held)
+        self.assertIn("they go by", checker.leases(two).broken)  # two voters at a time
+
+
+class Emergency(unittest.TestCase):
+    """A majority of the voters is lost for good."""
+
+    def lost(self) -> Net:
+        net = Net().steady()
+        net.broker(0).propose(policy(12), "half", net.now)
+        net.until(lambda: net.everywhere(1), 2.0)
+        for n in (2, 3, 4):
+            net.kill(n)
+        net.run(5.0)
+        self.assertEqual(set(net.modes().values()), {NOTHING})
+        return net
+
+    def test_those_who_are_left_go_on_and_change_the_policy_again(self) -> None:
+        net = self.lost()
+        self.assertEqual(net.broker(0).force(("b2", "b3", "b4"), "fire in hall a", net.now), "")
+        epoch = net.broker(0).state.epoch
+        self.assertEqual(epoch, machine.ERA)
+        net.until(lambda: net.everywhere(epoch), 4.0)
+        self.assertEqual(net.broker(1).state.policy, policy(12))  # what was in force, not the files'
+        self.assertIn("EMERGENCY, only b0, b1: fire", net.broker(1).state.history[-1])
+        self.assertEqual(net.broker(1).propose(policy(48), "double", net.now), "")
+        net.until(lambda: net.everywhere(epoch + 1), 3.0)
+        net.start(3)  # one that was called lost is back: it takes what is in force, without a vote
+        net.until(lambda: net.everywhere(epoch + 1), 4.0)
+        self.assertFalse(net.broker(3).votes)
+        self.assertEqual(net.broker(3).admit(net.now), "")
+        net.until(lambda: net.everywhere(epoch + 2) and net.broker(3).votes, 3.0)
+
+    def test_it_is_refused_while_it_is_not_one(self) -> None:
+        net = Net().steady()
+        everyone = ("b2", "b3", "b4")
+        self.assertIn("a majority of the voters is heard", net.broker(0).force(everyone, "", net.now))
+        net = self.lost()
+        for lost, word in ((("b3", "b4"), "a majority of the voters is left"), (("x",), "does not vote"),
+                           ((*everyone, "b1"), "'b1' was"), ((*everyone, "b0"), "not lost")):  # fmt: skip
+            self.assertIn(word, net.broker(0).force(lost, "", net.now))
+        net.kill(1)
+        net.run(5.0)
+        self.assertIn("'b1' is not heard", net.broker(0).force(everyone, "", net.now))
+        net.kill(0)
+        net.start(0)
+        self.assertIn("has listened for less", net.broker(0).force((*everyone, "b1"), "", net.now))
+        net.run(5.0)
+        self.assertEqual(net.broker(0).force((*everyone, "b1"), "", net.now), "")
+        net.until(lambda: net.modes()[0][0] >= machine.ERA, 4.0)
+
+    def test_its_price_what_the_others_decided_meanwhile_is_void_once_they_hear_of_it(self) -> None:
+        net = Net().steady()
+        net.cut = {(a, b) for a in (0, 1) for b in (2, 3, 4)} | {(b, a) for a in (0, 1) for b in (2, 3, 4)}
+        net.run(5.0)
+        net.decided.clear()
+        self.assertEqual(net.broker(1).force(("b2", "b3", "b4"), "they seemed lost", net.now), "")
+        self.assertEqual(net.broker(3).propose(policy(48), "double", net.now), "")
+        with self.assertRaises(AssertionError):  # two policies at one moment: this is the price
+            net.run(6.0)
+        net.check = lambda: None  # type: ignore[method-assign]
+        net.run(1.0)
+        net.cut = set()
+        epoch = net.broker(1).state.epoch
+        self.assertEqual(epoch, machine.ERA + 1)
+        net.until(lambda: net.everywhere(epoch), 6.0)
+        self.assertEqual(net.broker(3).state.policy, policy())
+        self.assertEqual(sorted(net.broker(3).state.voters), ["b0", "b1"])
+
+    def test_two_halves_that_call_it_at_once_come_together_by_the_later_member(self) -> None:
+        net = self.lost()
+        net.cut = {(0, 1), (1, 0)}
+        net.run(5.0)
+        net.check = lambda: None  # type: ignore[method-assign]
+        everyone = ("b2", "b3", "b4")
+        self.assertEqual(net.broker(0).force((*everyone, "b1"), "", net.now), "")
+        self.assertEqual(net.broker(1).force((*everyone, "b0"), "", net.now), "")
+        net.run(3.0)
+        net.cut = set()
+        net.until(lambda: net.everywhere(machine.ERA + 1), 4.0)
+        self.assertEqual(net.broker(0).state.voters, {"b1": 0})
+
+
 class Searched(unittest.TestCase):
     """Every state of a small one, and faults that are found there."""
 
--- a/tests/test_rollout_live.py
+++ b/tests/test_rollout_live.py
@@ -8,7 +8,7 @@
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
-from contextlib import redirect_stdout
+from contextlib import redirect_stderr, redirect_stdout
 from io import StringIO
 from pathlib import Path
 from typing import Any
@@ -25,6 +25,7 @@
 from lemonridge.lab.rig import Rig, Site, standing
 from lemonridge.net.calling import CallError, call
 from lemonridge.rollout.document import Policy
+from lemonridge.rollout.machine import ERA
 
 SITE = Site(lease_ms=1000.0, short=2)
 Scene = Callable[[Rig], Awaitable[None]]
@@ -83,7 +84,8 @@
 
 def judged(rig: Rig) -> Findings:
     came = [one for node in rig.nodes for one in node.came]
-    return check(came, [], [], {0: 24.0, 1: 48.0, 2: 48.0}, 6.0, (1,), SITE.burst, SITE.slack, 1.5)
+    limits = {0: 24.0, 1: 48.0, 2: 48.0, ERA: 24.0, ERA + 1: 48.0, ERA + 2: 48.0}
+    return check(came, [], [], limits, 6.0, (1,), SITE.burst, SITE.slack, 1.5)
 
 
 def play(case: unittest.TestCase, *scenes: Scene, seconds: float = 4.0) -> list[Rig]:
@@ -248,6 +250,65 @@
         play(self, scene)
 
 
+    def test_a_vote_is_taken_away_and_given_and_the_emergency_call_goes_on_alone(self) -> None:
+        def run(*words: str) -> tuple[int, str]:
+            with redirect_stdout(StringIO()) as out, redirect_stderr(out):
+                return cli.main(["policy", *words]), out.getvalue()
+
+        async def ask(*words: str) -> tuple[int, str]:
+            return await asyncio.to_thread(run, *words)
+
+        async def scene(rig: Rig) -> None:
+            at = [f"127.0.0.1:{one.admin}" for one in rig.brokers]
+            program = rig.brokers[0].program
+            assert program is not None
+
+            def hear(_: float, line: dict[str, str]) -> None:
+                if line.get("event") == "emergency":
+                    told.append(line)
+
+            program.heard.append(hear)
+            self.assertEqual(await ask("retire", "b2", at[0], "--wait", "4"),
+                             (0, "epoch 1 is proposed\nin force, epoch 1\n"))
+            await until(lambda: everywhere(rig, 1), 2.0)
+            self.assertFalse((await seen(rig, 2))["votes"])
+            self.assertEqual((await ask("admit", at[2], "--wait", "4"))[0], 0)
+            await until(lambda: everywhere(rig, 2), 2.0)
+            self.assertIn("2 b2: b2 votes from now on", (await ask("history", at[1]))[1])
+            lost = ("force", at[0], "--lost", "b1", "--lost", "b2")
+            self.assertIn("a majority of the voters is heard", (await ask(*lost, "--accept-two-policies"))[1])
+            begun = asyncio.get_running_loop().time()
+            for one in rig.brokers[1:]:
+                await one.kill()
+
+            async def alone() -> bool:
+                return (await seen(rig, 0))["goes_by"] == "floor"
+
+            await until(alone, 3.0)
+            code, text = await ask(*lost, "--note", "both burnt")
+            self.assertEqual((code, "two policies are gone by" in text), (1, True))  # not without the price
+
+            async def forced() -> bool:
+                return (await ask(*lost, "--note", "both burnt", "--accept-two-policies"))[0] == 0
+
+            await until(forced, 4.0)  # they count as heard for two leases
+            await until(lambda: by(rig, 0, ERA), 3.0)
+            await propose(rig, 0, 48.0)  # and what is changed from now on is in force
+            await until(lambda: by(rig, 0, ERA + 1), 3.0)
+            for one in rig.brokers[1:]:
+                await one.start()
+                await one.ready()
+                one.down.append((begun, asyncio.get_running_loop().time()))
+            await until(lambda: everywhere(rig, ERA + 1), 3.0)
+            self.assertEqual((await ask("admit", at[1], "--wait", "4"))[0], 0)
+            self.assertEqual((await seen(rig, 0))["voters"], ["b0", "b1"])
+
+        told: list[dict[str, str]] = []
+        play(self, scene, seconds=16.0)
+        self.assertEqual([(one["level"], one["lost"], one["epoch"]) for one in told],
+                         [("critical", "b1,b2", str(ERA))])  # loud, and once
+
+
 class Drilled(unittest.TestCase):
     def test_every_rule_holds(self) -> None:
         figures, found, answers = asyncio.run(drill.run(drill.Options(11, 20.0)))
