Let the iSCSI front and etcd's contracts take part in the fleet's one policy

Seen: [fleet.policy] in the file of the iSCSI front was read and did nothing; each such broker went by its own file and by the contracts that it found in etcd at its start, and a later contract waited for the next start.

Change: the governor asks of a broker's own file only what is policy (`Own`: settings, plans, classes), so both fronts have one. An attempt that was decided by other epochs is withheld at its first byte for every front (`Decider.begins`), no longer by the platform's nodes' side alone. Where a process has both fronts it is one member, and that is the platform's: until now the second one tried for its taken address for ever.

Tests, three programs with etcd's stand-in: a contract in force everywhere, one under the floor nowhere with its reason; one down and one cut off; a command whose login to the node outlasts a change is withheld and sent by the new epoch. The last was seen to fail without the check in `begins`: sent in the old epoch's name.

--- a/lemonridge/app.py
+++ b/lemonridge/app.py
@@ -91,7 +91,8 @@
             from lemonridge.governance import Governor  # only an operator's file sets it up
 
             assert made.peers is not None
-            made.governor = governor = Governor(platform, made.peers, made.decider, made.clock, made.counters)
+            made.governor = governor = Governor(platform.fleet, platform, platform.seed, made.peers,
+                                                made.decider, made.clock, made.counters)
             nodes.epoch, front.sure = governor.epoch, governor.sure
             made.endings.insert(0, governor.stop)
     front.bind(platform.listen, platform.passed)
@@ -225,9 +226,13 @@
         if order.call is Call.FLEET:
             return seen(service)
         if order.call is Call.READY:
+            if service.governor is not None and not service.governor.sure():
+                return Reply(False, "no policy in force yet")
             listed = service.directory.listed
             return Reply(listed, "serving" if listed else "no list of nodes yet")
-        return Reply(False, "only ready and fleet are answered here")
+        if order.call in OF_POLICY and service.governor is not None:
+            return service.governor.act(order)
+        return Reply(False, "only ready, fleet and policies are answered here")
 
     operators = Operators(act, service.counters)
     await operators.start(address)
@@ -274,9 +279,10 @@
         if iscsi is not None:
             from lemonridge.iscsi.service import iscsi_service  # the platform's broker does not load it
 
-            made = await iscsi_service(iscsi, plan)
-            if plan is not None and plan.admin is not None:
-                await _watch_desk(made, plan.admin)
+            mine = plan if platform is None else None  # a process is one member, and that is the platform's
+            made = await iscsi_service(iscsi, mine)
+            if mine is not None and mine.admin is not None:
+                await _watch_desk(made, mine.admin)
             services.append(made)
 
     loop.add_signal_handler(signal.SIGUSR1, print_counters)
--- a/lemonridge/core/decider.py
+++ b/lemonridge/core/decider.py
@@ -101,6 +101,9 @@
     def before(self, now_us: int) -> api.Settings | None:
         """Settings to go by from now on; None where nothing changed."""
 
+    def epoch(self, decided_s: float) -> str | None:
+        """By which epochs an attempt begins that was decided at a time; None where it may not any more."""
+
 
 class Decider:
     """Owns the scheduler. The events of one turn of the event loop go to it together."""
@@ -154,7 +157,9 @@
     def begins(self, mailbox: Mailbox, number: int) -> bool:
         """Whether an attempt may still begin: its client has not left and has no answer, and the decisions
         stand by it. Asked at its first byte, for which it may have waited."""
-        return not mailbox.answer.done() and self._scheduler.begins(self.clock.now_us(), mailbox.name, number)
+        if mailbox.answer.done() or (self.fence is not None and self.fence.epoch(mailbox.decided_s) is None):
+            return False
+        return self._scheduler.begins(self.clock.now_us(), mailbox.name, number)
 
     def close(self, mailbox: Mailbox) -> None:
         """The life of a request is over."""
--- a/lemonridge/etcd.py
+++ b/lemonridge/etcd.py
@@ -270,17 +270,19 @@
 
 
 class PlansFeed:
-    """The contracts: `plans/NAME`. The module is told its contracts once, at its start, so a later change
-    waits for the next."""
+    """The contracts: `plans/NAME`. Where the fleet has one policy they are a wish, told to `changed`; else
+    the module is told its contracts once, at its start, and a later change waits for the next. A plan that
+    is gone stays as it was."""
 
     KIND = "plans/"
 
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
         self.plans: dict[str, api.Plan] = {}
+        self.changed: Callable[[dict[str, api.Plan]], None] | None = None
 
     def begin(self) -> None:
-        """What is held stays: a plan that is gone applies until the next start."""
+        """What is held stays."""
 
     def page(self, rows: Sequence[Event]) -> None:
         self.changes(rows)
@@ -298,8 +300,12 @@
             except (ConfigError, ValueError) as error:
                 _ignored(event, error, self._counters)
                 continue
-            if self.plans.setdefault(name, plan) != plan:
+            if self.changed is not None:
+                self.plans[name] = plan
+            elif self.plans.setdefault(name, plan) != plan:
                 log.warning("contract changed", extra={"plan": name, "applies": "from the next start"})
+        if self.changed is not None:
+            self.changed(self.plans)
 
     async def beside(self, etcd: EtcdClient, http: aiohttp.ClientSession) -> None:
         await asyncio.Event().wait()
@@ -332,6 +338,11 @@
                       for name, plan in zip(config.plans, config.settings.plans, strict=True))  # fmt: skip
         return replace(config, settings=replace(config.settings, plans=plans))
 
+    def follow(self, changed: Callable[[dict[str, api.Plan]], None]) -> None:
+        """Tell the contracts now, and at each change."""
+        self._plans.changed = changed
+        changed(self._plans.plans)
+
     async def run(self, feeds: dict[str, Feed]) -> None:
         """Follow the contracts, and each kind of key that there is a feed for."""
         async with asyncio.TaskGroup() as group:
--- a/lemonridge/governance.py
+++ b/lemonridge/governance.py
@@ -13,6 +13,7 @@
 import secrets
 import struct
 from collections import deque
+from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 from typing import TextIO
@@ -22,7 +23,7 @@
 import orjson
 
 from lemonridge import api
-from lemonridge.config import ConfigError, Platform
+from lemonridge.config import ConfigError, FleetPlan
 from lemonridge.core.clock import Clock
 from lemonridge.core.decider import Decider
 from lemonridge.counters import Counters
@@ -33,6 +34,8 @@
 from lemonridge.rollout.document import Policy, PolicyError
 from lemonridge.rollout.leases import NOTHING, Interval
 from lemonridge.rollout.machine import Action, Keep, Kept, Rollout, Say
+from lemonridge.rollout.wishes import Wish
+from lemonridge.service import Own
 
 log = logging.getLogger(__name__)
 
@@ -104,11 +107,11 @@
 class Governor:
     """This broker's policy."""
 
-    def __init__(self, platform: Platform, peers: Peers, decider: Decider, clock: Clock,
+    def __init__(self, plan: FleetPlan, own: Own, seed: int, peers: Peers, decider: Decider, clock: Clock,
                  counters: Counters) -> None:
-        plan = platform.fleet
-        assert plan is not None and plan.rollout is not None
-        self._platform, self._peers, self._decider = platform, peers, decider
+        """`own` is what this broker's file says; ConfigError where its store cannot be used."""
+        assert plan.rollout is not None
+        self._own, self._peers, self._decider = own, peers, decider
         self._clock, self._counters = clock, counters
         self._loop = asyncio.get_running_loop()
         self._store = Store(plan.rollout.store)
@@ -124,20 +127,21 @@
         if kept is None:
             log.warning("no store of votes: this broker votes once the others let it in",
                         extra={"path": plan.rollout.store})
-        own = document.policy_from(platform.settings, platform.plans, platform.classes)
-        least = document.floor(own, plan.rollout.floor)
+        filed = document.policy_from(own.settings, own.plans, own.classes)
+        least = document.floor(filed, plan.rollout.floor)
         voters = dict.fromkeys(plan.names[: document.VOTERS_MAX], 0)
-        genesis = document.State(epoch=0, prior="", voters=voters, policy=own, floor=least)
+        genesis = document.State(epoch=0, prior="", voters=voters, policy=filed, floor=least)
         ident = 1 + secrets.randbelow(1 << 62)
         try:
             self.rollout = Rollout(plan.me, plan.names, peers.life, genesis, kept, ident, self._judge,
-                                   platform.seed, clock.now_us(), plan.rollout.span_us, plan.error_us)
+                                   seed, clock.now_us(), plan.rollout.span_us, plan.error_us)
         except (PolicyError, msgspec.DecodeError) as error:
             raise ConfigError(f"{plan.rollout.store} cannot be used: {error}") from None
         self._mode: tuple[Interval, int] | None = None  # by which the decisions go, and of which epoch
         self._changed_s = 0.0  # when that changed
         self._had = False  # a lease, since this start
         self._shown = 0
+        self._wish = Wish(plan.me)
         self._queue: deque[Action] = deque()  # in their order; behind a vote that is being kept all wait
         self._keeping: asyncio.Future[None] | None = None
         self._stuck = False  # the disk takes nothing
@@ -156,6 +160,7 @@
     def _tick(self) -> None:
         now_us = self._clock.now_us()
         self.rollout.tick(now_us)
+        self._try(now_us)
         self._flush()
         self._timer = self._loop.call_at(self._clock.loop_time(self.rollout.wake_us(now_us)), self._tick)
 
@@ -175,6 +180,8 @@
         fresh = self.rollout.ended - self._shown
         for result in self.rollout.results[-fresh:] if fresh else ():
             log.info("change ended", extra={"end": result.end, "why": result.why, "epoch": result.epoch})
+            if result.willed:
+                self._wish.came_to_nothing(self._clock.now_us())
         self._shown = self.rollout.ended
 
     def _pump(self) -> None:
@@ -228,7 +235,7 @@
         return ""
 
     def _apply(self, policy: Policy) -> api.Settings:
-        one = self._platform
+        one = self._own
         return document.apply(policy, one.settings, one.plans, one.classes)
 
     def _now(self) -> tuple[Interval, int]:
@@ -264,19 +271,33 @@
         """Whether this broker knows by what to decide: it has had a lease since its start."""
         return self._had and not self.rollout.fault
 
-    def configure(self, platform: Platform) -> api.Settings:
+    def wish(self, plans: Mapping[str, api.Plan]) -> None:
+        """Contracts of a source outside the fleet, all of it: they are proposed until they are in force."""
+        self._wish.set({name: document.plan_of(name, plan) for name, plan in plans.items()})
+
+    def _try(self, now_us: int) -> None:
+        """Propose what is wished for, if it is time."""
+        policy = self._wish.due(self.rollout.state.policy, now_us)
+        if policy is None or self.rollout.hindered(now_us):
+            return
+        why = self.rollout.propose(policy, "contracts of etcd", now_us)
+        log.info("policy of etcd", extra={"proposed": not why, "why": why})
+        if why:
+            self._wish.came_to_nothing(now_us)
+
+    def configure(self, own: Own) -> api.Settings:
         """A new configuration: what of it is policy is proposed, the rest counts from now on."""
-        old, self._platform = self._platform, platform
-        own = document.policy_from(platform.settings, platform.plans, platform.classes)
-        if own != document.policy_from(old.settings, old.plans, old.classes):
-            why = self.rollout.propose(own, "SIGHUP", self._clock.now_us())
+        old, self._own = self._own, own
+        filed = document.policy_from(own.settings, own.plans, own.classes)
+        if filed != document.policy_from(old.settings, old.plans, old.classes):
+            why = self.rollout.propose(filed, "SIGHUP", self._clock.now_us())
             log.info("policy of the file", extra={"proposed": not why, "why": why})
             self._flush()
         try:
             return self._settings()
         except PolicyError as error:  # the machine's own part does not fit what is in force
             self.rollout.fault = str(error)
-            return platform.settings
+            return own.settings
 
     # Operators
 
@@ -302,6 +323,8 @@
             policy, note = document.policy_of(told["policy"]), str(told.get("note", ""))
         except (orjson.JSONDecodeError, PolicyError, KeyError, TypeError) as error:
             return Reply(False, f"not a proposal: {error}")
+        if why := self._wish.against(policy):
+            return Reply(False, why)
         if told.get("dry"):
             why = self.rollout.wrong(policy)
             return Reply(not why, why or "; ".join(document.difference(self.rollout.state.policy, policy))
--- a/lemonridge/iscsi/config.py
+++ b/lemonridge/iscsi/config.py
@@ -47,6 +47,11 @@
     plan: int
     shard: int
 
+    @property
+    def classes(self) -> tuple[str, ...]:
+        """The names of the settings' classes, in their order."""
+        return "read", "write"
+
     @property
     def mapped(self) -> bool:
         return self.shard < 0
@@ -111,6 +116,11 @@
         """The size of a transfer, in units of the contracts."""
         return float(max(1, math.ceil(length / self.unit_bytes)))
 
+    @property
+    def classes(self) -> tuple[str, ...]:
+        """The names of the settings' classes, in their order."""
+        return "read", "write"
+
     @property
     def mapped(self) -> frozenset[int]:
         """The LUNs whose data lies in extents."""
--- a/lemonridge/iscsi/service.py
+++ b/lemonridge/iscsi/service.py
@@ -28,9 +28,11 @@
 async def iscsi_service(config: Iscsi, plan: FleetPlan | None = None) -> Service:
     """The iSCSI front of an operator's file: initiators before it, targets behind it."""
     counters, source = Counters(), None
+    governed = plan is not None and plan.rollout is not None
     if config.etcd is not None:
         source = EtcdSource(config.etcd, Random(), counters, config.extents.page)
-        config = await source.contracts(config)
+        told = await source.contracts(config)
+        config = config if governed else told  # a fleet's are in force once that is decided
     made = Service("iscsi", config.settings, secrets.randbits(64), counters)
     router = _router(config, made) if config.mapped else None
     refresher: Refresher | None = None
@@ -60,6 +62,15 @@
         router.resized = lambda luns: front.device.tell(CAPACITY_CHANGED, luns)
     if plan is not None:
         made.speak(Peers(plan, made.decider, made.clock, counters, secrets.randbits(64), config.settings))
+    if plan is not None and plan.rollout is not None:
+        from lemonridge.governance import Governor  # only an operator's file sets it up
+
+        assert made.peers is not None
+        made.governor = governor = Governor(plan, config, secrets.randbits(64), made.peers, made.decider,
+                                            made.clock, counters)
+        made.endings.insert(0, governor.stop)
+        if source is not None:
+            source.follow(governor.wish)
     await front.start(config.listen)
     return made
 
--- a/lemonridge/net/http_nodes.py
+++ b/lemonridge/net/http_nodes.py
@@ -170,8 +170,6 @@
             raise WithheldError
         if self.minds_stops and self._loop.time() > attempt.decided_s + self._connector.connect_s + LATE_S:
             raise WithheldError
-        if self.epoch is not None and self.epoch(attempt.decided_s) is None:
-            raise WithheldError
         attempt.begin()
 
     async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
--- a/lemonridge/rollout/document.py
+++ b/lemonridge/rollout/document.py
@@ -174,12 +174,16 @@
 # What a broker's own file says, and what it makes of a policy
 
 
+def plan_of(name: str, row: api.Plan) -> Plan:
+    """A plan as the decisions know it."""
+    return Plan(name=name, base_rate=row.base_rate, reserve=row.reserve, weight=row.weight, limit=row.limit,
+                burst=row.burst, slack=row.slack)
+
+
 def policy_from(settings: api.Settings, plans: Iterable[str], classes: Iterable[str]) -> Policy:
     """The policy in a broker's settings."""
     return Policy(
-        plan=tuple(Plan(name=told, base_rate=row.base_rate, reserve=row.reserve, weight=row.weight,
-                        limit=row.limit, burst=row.burst, slack=row.slack)
-                   for told, row in zip(plans, settings.plans, strict=True)),
+        plan=tuple(map(plan_of, plans, settings.plans)),
         classes=tuple(Class(name=told, aim_ms=row.aim_us / 1000, worth=row.worth)
                       for told, row in zip(classes, settings.classes, strict=True)),
         rules=Rules(max_attempts=settings.max_attempts, further_attempts=settings.further_rate))  # fmt: skip
--- a/lemonridge/rollout/machine.py
+++ b/lemonridge/rollout/machine.py
@@ -103,6 +103,7 @@
     end: str
     why: str = ""
     epoch: int = 0
+    willed: bool = False  # a broker cannot, or an operator called it off: the same again ends the same way
 
 
 @dataclass(slots=True)
@@ -195,7 +196,7 @@
 
     def propose(self, policy: Policy, note: str, now_us: int) -> str:
         """Begin a change; the reason why it cannot begin, or nothing. Its end comes in `results`."""
-        if why := self._hindered(now_us):
+        if why := self.hindered(now_us):
             return why
         if policy == self.state.policy:
             return "nothing differs"
@@ -206,7 +207,7 @@
     def admit(self, now_us: int) -> str:
         """Begin to let this broker vote; as `propose`."""
         own = self.names[self.me]
-        if why := self._hindered(now_us):
+        if why := self.hindered(now_us):
             return why
         if self.votes:
             return "it votes already"
@@ -215,14 +216,14 @@
 
     def retire(self, voter: str, now_us: int) -> str:
         """Begin to take a vote away; as `propose`."""
-        if why := self._hindered(now_us):
+        if why := self.hindered(now_us):
             return why
         if voter not in self.state.voters:
             return f"'{voter}' does not vote"
         made = document.retired(self.state, voter, self.names[self.me])
         return document.stepped(self.state, made, self.names) or self._begin(made, now_us)
 
-    def _hindered(self, now_us: int) -> str:
+    def hindered(self, now_us: int) -> str:
         """Why nothing can be proposed here now, or nothing."""
         if self.change is not None:
             return "a change is under way"
@@ -283,7 +284,7 @@
         """Give up a change that is not put to the vote yet."""
         if self.change is None or not self.change.mine or self.change.proposer is not None:
             return False
-        self._end(Result("nowhere", "called off"))
+        self._end(Result("nowhere", "called off", willed=True))
         return True
 
     def _end(self, result: Result) -> None:
@@ -312,7 +313,7 @@
         have answered too, or nothing could be decided any more."""
         for who, why in change.opinions.items():
             if why:
-                self._end(Result("nowhere", f"{self.names[who]}: {why}"))
+                self._end(Result("nowhere", f"{self.names[who]}: {why}", willed=True))
                 return
         silent = [who for who in range(len(self.names)) if who not in change.opinions]
         sets = (self.idents(self.state), self.idents(document.decode(change.data)))
--- a/lemonridge/service.py
+++ b/lemonridge/service.py
@@ -32,13 +32,28 @@
     def busy(self) -> bool: ...
 
 
+class Own(Protocol):
+    """What a broker's own file says of what is policy; the names are those that its clients know."""
+
+    @property
+    def settings(self) -> api.Settings: ...
+
+    @property
+    def plans(self) -> tuple[str, ...]: ...
+
+    @property
+    def classes(self) -> tuple[str, ...]: ...
+
+
 class Governing(Protocol):
     """The policy of the fleet at this broker; see `governance.py`."""
 
-    def configure(self, platform: Platform) -> api.Settings: ...
+    def configure(self, own: Own) -> api.Settings: ...
 
     def act(self, order: Order) -> Reply: ...
 
+    def sure(self) -> bool: ...
+
 
 class Service:
     """One front with the core and the nodes' side behind it."""
--- /dev/null
+++ b/tests/test_rollout_iscsi.py
@@ -0,0 +1,200 @@
+"""One policy for brokers with the iSCSI front, and contracts of etcd that come into force through it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from lemonridge import api
+from lemonridge.config import Address
+from lemonridge.governance import Store
+from lemonridge.lab.links.datagrams import Network, kept_port
+from lemonridge.lab.measure.rollout import policy
+from lemonridge.lab.standins.etcd import Etcd
+from lemonridge.net.calling import CallError, call
+from lemonridge.rollout import document
+from lemonridge.rollout.wishes import AGAIN_US, STAGGER_US, Wish
+from tests.harness import ROOT, Initiator, Program, Target
+
+LEASE_MS, BROKERS = 1000, 3
+
+
+class Wishes(unittest.TestCase):
+    def test_it_is_proposed_by_one_after_the_other_until_it_is_in_force(self) -> None:
+        before, after = policy(24.0), policy(36.0)
+        wishes = [Wish(me) for me in range(3)]
+        for wish in wishes:
+            wish.set({"basic": after.plan[0], "unknown": after.plan[1]})
+            self.assertIn("plan 'basic' comes from etcd", wish.against(before))
+            self.assertEqual(wish.against(after), "")
+        self.assertEqual([wish.due(before, 0) == after for wish in wishes], [True, False, False])
+        self.assertEqual(wishes[2].due(before, 2 * STAGGER_US), after)
+        self.assertIsNone(wishes[0].due(after, 5))
+        self.assertIsNone(wishes[1].due(before, 1))  # what it saw met begins anew
+
+    def test_what_came_to_nothing_rests_unless_the_wish_changes(self) -> None:
+        wish, before = Wish(0), policy(24.0)
+        wish.set({"basic": policy(36.0).plan[0]})
+        self.assertIsNotNone(wish.due(before, 0))
+        wish.came_to_nothing(0)
+        self.assertIsNone(wish.due(before, AGAIN_US - 1))
+        wish.set({"basic": policy(36.0).plan[0]})  # said again
+        self.assertIsNone(wish.due(before, AGAIN_US - 1))
+        self.assertIsNotNone(wish.due(before, AGAIN_US))
+        wish.came_to_nothing(AGAIN_US)
+        wish.set({"basic": policy(30.0).plan[0]})
+        self.assertIsNotNone(wish.due(before, AGAIN_US))
+
+    def test_a_plan_of_the_decisions_is_the_plan_of_the_document(self) -> None:
+        row = api.Plan(1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
+        self.assertEqual(document.plan_of("x", row), document.Plan(
+            name="x", base_rate=1.0, reserve=2.0, weight=3.0, limit=4.0, burst=5.0, slack=6.0))
+
+
+class Gated(Target):
+    """Answers no login before its gate is open."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.gate, self.came = asyncio.Event(), asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.came.set()
+        await self.gate.wait()
+        await super()._serve(reader, writer)
+
+
+class Fleet(unittest.IsolatedAsyncioTestCase):
+    """Three brokers with the iSCSI front before one target, with their nodes and contracts in etcd."""
+
+    async def asyncSetUp(self) -> None:
+        self.etcd = Etcd()
+        await self.etcd.start()
+        self.addAsyncCleanup(self.etcd.stop)
+        self.target = Gated()
+        await self.target.start()
+        self.etcd.put("/lr/nodes/n1", self.target.row(0))
+        self.network = await Network(BROKERS, 1).start()
+        self.addCleanup(self.network.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        kept = [kept_port() for _ in range(BROKERS)]
+        self.admins = [Address("127.0.0.1", one.getsockname()[1]) for one in kept]
+        for one in kept:
+            self.addCleanup(one.close)
+        self.programs: list[Program] = []
+        self.ports = [0] * BROKERS
+        for number in range(BROKERS):
+            Store(str(self.folder / f"votes{number}")).begin()
+            self.programs.append(await self.start(number))
+
+    def file(self, number: int) -> Path:
+        text = (ROOT / "deploy" / "iscsi.toml").read_text()
+        text = text[: text.index("[[node]]")].replace("127.0.0.1:3260", "127.0.0.1:0")
+        for old, new in (("brokers = 1 ", f"brokers = {BROKERS} "),
+                         ("connect_timeout_ms = 250", "connect_timeout_ms = 9000"),
+                         ("aim_ms = 300\ndeadline_ms = 2500", "aim_ms = 9000\ndeadline_ms = 9000"),
+                         ('plan = "standard"\nshard = 0', 'plan = "basic"\nshard = 0')):  # fmt: skip
+            assert old in text, old
+            text = text.replace(old, new)
+        members = "".join(f'[[fleet.member]]\nname = "b{n}"\naddress = "{at}"\n'
+                          for n, at in enumerate(self.network.told(number)))  # fmt: skip
+        path = self.folder / f"iscsi{number}.toml"
+        path.write_text(
+            f'{text}\n[etcd]\nendpoint = "127.0.0.1:{self.etcd.port}"\nprefix = "/lr/"\n'
+            f'[fleet]\nname = "b{number}"\nlisten = "{self.network.listen(number)}"\n'
+            f'admin = "{self.admins[number]}"\n[fleet.policy]\nstore = "{self.folder}/votes{number}"\n'
+            f"lease_ms = {LEASE_MS}\n{members}")
+        return path
+
+    async def start(self, number: int) -> Program:
+        program = await Program().start("serve", "--config", str(self.file(number)))
+        self.addAsyncCleanup(program.end, signal.SIGKILL)
+        self.ports[number] = int((await program.line("event=listening")).rsplit(":", 1)[1])
+        return program
+
+    async def seen(self, number: int) -> dict[str, Any]:
+        told: dict[str, Any] = orjson.loads(await call(self.admins[number], "policy"))
+        return told
+
+    async def by(self, epoch: int, *numbers: int, within_s: float = 5.0) -> None:
+        """Until these go by an epoch alone."""
+        until = time.monotonic() + within_s
+        while [(await self.seen(n))["goes_by"] for n in numbers] != [[epoch, epoch]] * len(numbers):
+            self.assertLess(time.monotonic(), until, [await self.seen(n) for n in numbers])
+            await asyncio.sleep(0.02)
+
+    def limit(self, seen: dict[str, Any]) -> float:
+        return next(float(row["limit"]) for row in seen["policy"]["plan"] if row["name"] == "basic")
+
+    async def test_a_contract_of_etcd_is_in_force_everywhere_or_nowhere(self) -> None:
+        await self.by(0, 0, 1, 2)
+        self.assertEqual(await call(self.admins[0], "ready"), "serving")
+        before = self.limit(await self.seen(0))
+        row = {"rate": 1000, "weight": 1, "limit": 2 * before, "burst": 2 * before}
+        self.etcd.put("/lr/plans/basic", row)
+        await self.by(1, 0, 1, 2)
+        self.assertEqual([self.limit(await self.seen(n)) for n in range(3)], [2 * before] * 3)
+        self.assertIn("contracts of etcd", (await self.seen(2))["history"][-1])
+        # Less than the floor that every policy contains: nowhere, with a reason, and it rests.
+        self.etcd.put("/lr/plans/basic", {**row, "limit": before / 100})
+        line = await self.programs[0].line("proposed=False")
+        self.assertIn("under the floor", line)
+        # Who contradicts etcd is told so, since it would be changed back.
+        told = await self.seen(0)
+        with self.assertRaises(CallError) as caught:
+            await call(self.admins[0], "policy-propose " + orjson.dumps({"policy": told["policy"]}).decode())
+        self.assertIn("comes from etcd", str(caught.exception))
+        self.assertEqual((await self.seen(1))["epoch"], 1)
+
+    async def test_one_that_was_down_takes_what_is_in_force_and_one_cut_off_goes_by_the_floor(self) -> None:
+        await self.by(0, 0, 1, 2)
+        before = self.limit(await self.seen(0))
+        await self.programs[2].end(signal.SIGKILL)
+        for pair in ((0, 1), (1, 0)):
+            self.network.stretches[pair].cut = True
+        row = {"rate": 1000, "weight": 1, "limit": 2 * before, "burst": 2 * before}
+        self.etcd.put("/lr/plans/basic", row)
+        until = time.monotonic() + 4.0
+        while (await self.seen(0))["goes_by"] != "floor":
+            self.assertLess(time.monotonic(), until)
+            await asyncio.sleep(0.02)
+        self.assertEqual((await self.seen(0))["epoch"], 0)  # nobody may decide
+        self.programs[2] = await self.start(2)
+        told = ""
+        while "no policy in force yet" not in told:  # as it starts it goes by nothing yet
+            self.assertNotEqual(told, "serving")
+            self.assertLess(time.monotonic(), until + 4.0, told)
+            try:
+                told = await call(self.admins[2], "ready")
+            except CallError as error:
+                told = str(error)
+        for pair in ((0, 1), (1, 0)):
+            self.network.stretches[pair].cut = False
+        await self.by(1, 0, 1, 2, within_s=8.0)
+
+    async def test_an_attempt_that_was_decided_by_another_epoch_is_not_sent(self) -> None:
+        """Its login to the node takes as long as the change: it is withheld, and decided on again."""
+        await self.by(0, 0, 1, 2)
+        before = self.limit(await self.seen(0))
+        session = await Initiator(self.ports[0]).start()
+        self.addCleanup(session.writer.close)
+        reading = asyncio.create_task(session.read(1, 4096))
+        await self.target.came.wait()
+        row = {"rate": 1000, "weight": 1, "limit": 2 * before, "burst": 2 * before}
+        self.etcd.put("/lr/plans/basic", row)
+        await self.by(1, 0, 1, 2)
+        self.assertEqual(self.target.begun, [])
+        self.target.gate.set()
+        status, _, _ = await reading
+        self.assertEqual((status, len(self.target.begun)), (0, 1))
+        counts = await self.programs[0].counters()
+        self.assertEqual((counts.get("attempts.moot"), counts["attempts.ok"]), (1, 1))
