Name brokers alike in the search of the leases, and measure changes on 3 to 32 processes

Seen: of the searches of docs/policy-change.md only one tick of a lease ended (154,969 states); the wider ones were cut at 500,000. Time to force was measured on at most nine processes, clock errors at two, and the share of time that a broker which is cut off spends on the floor had no plot.

Found on the way: 32 brokers were twice not ready in 15 and 30 s. The rig chose the brokers' ports before it bound its own 992 ends, and the system gave one of the ports to an end; that broker tried for its address for ever. The ports are chosen after the ends, all at one time.

--- a/lemonridge/cli.py
+++ b/lemonridge/cli.py
@@ -196,9 +196,11 @@
     drill.set_defaults(run=_drill)
     bench = commands.add_parser("bench", help="measure a part in one run, against stand-ins on loopback")
     bench.add_argument("name", choices=("extents", "iscsi", "decisions", "fleet", "policy"))
-    bench.add_argument("--part", choices=("membership", "cold", "states", "switch"), default="cold",
+    bench.add_argument("--part", choices=("membership", "cold", "states", "switch", "processes"),
+                       default="cold",
                        help="fleet: in virtual time, on processes, or every state of a small one; policy: "
-                            "states or switch")  # fmt: skip
+                            "states, switch or processes")  # fmt: skip
+    bench.add_argument("--plot", metavar="FILE", help="policy, switch: draw it, processes too")
     bench.add_argument("--against", metavar="DIR", help="iscsi: another checkout, for CPU a command in turns")
     bench.add_argument("--seed", type=int, default=1)
     bench.add_argument("--seconds", type=float, default=4.0, help="of each setting")
--- a/lemonridge/lab/checkers/rollout.py
+++ b/lemonridge/lab/checkers/rollout.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, replace
+from itertools import permutations
 from random import Random
 from typing import Any, NamedTuple
 
@@ -204,7 +205,38 @@
 def leases(bounds: Bounds, states_max: int = 2_000_000) -> Found[Fleet]:
     """All that three brokers with leases may come to; wrong is two that go by no common epoch."""
     start, moves, wrong = _leasing(bounds)
-    return explore(start, lambda fleet: fleet, moves, wrong, states_max)
+    alike = not bounds.sets and not bounds.granted
+    return explore(start, _renamed if alike else lambda fleet: fleet, moves, wrong, states_max)
+
+
+_ORDERS = tuple(permutations(range(MEMBERS)))
+
+
+def _renamed(fleet: Fleet) -> Hashable:
+    """A fleet's key. Where all begin alike it does not matter which broker is which: of the six ways to name
+    them the one with the least rows."""
+    ways = []
+    for to in _ORDERS:
+        back = [to.index(n) for n in range(MEMBERS)]
+        ways.append((
+            [fleet.asks[n] for n in back], [fleet.newest[n] for n in back], [fleet.lag[n] for n in back],
+            [fleet.lives[n] for n in back], to))  # fmt: skip
+    least = min(way[:4] for way in ways)
+    told = min(_rows(fleet, way[4]) for way in ways if way[:4] == least)
+    return *map(tuple, least), told, fleet.chosen, fleet.at, fleet.ticks, fleet.lags, fleet.restarts
+
+
+def _rows(fleet: Fleet, to: tuple[int, ...]) -> tuple[Any, ...]:
+    """What the brokers know, each by the number that it has in `to`."""
+    lessors: list[Any] = [()] * MEMBERS
+    holders: list[Any] = [()] * MEMBERS
+    for n, number in enumerate(to):
+        quiet, *grants = fleet.lessors[n]
+        lessors[number] = (quiet, *sorted((to[who], *rest) for who, *rest in grants))
+        uses, want, ask, asks, held = fleet.holders[n]
+        holders[number] = uses, want, ask, asks, tuple(sorted((to[who], *rest) for who, *rest in held))
+    sent = tuple(sorted((kind, to[voter], to[n], *rest) for kind, voter, n, *rest in fleet.sent))
+    return tuple(lessors), tuple(holders), sent
 
 
 def wander(bounds: Bounds, seed: int, walks: int, steps: int = 60) -> str:
@@ -346,5 +378,13 @@
 
 
 STATED_AGREEMENT = (Bounds(), Bounds(wipes=1))  # two tries of one proposer did not end in 200 s
-STATED_LEASES = (Bounds(flights=0, ticks=1),)  # wider ones did not end in half a million states
+_THREE, _HELD = (0, 1, 2), ((0, 1), (0, 1), (1, 2))
+STATED_LEASES = (
+    Bounds(flights=0, ticks=1), Bounds(flights=0, ticks=2), Bounds(flights=1, ticks=1),
+    Bounds(flights=0, ticks=1, lags=1), Bounds(flights=0, ticks=1, restarts=1),
+    Bounds(flights=0, ticks=2, restarts=1), Bounds(flights=0, ticks=1, epochs=2),
+    Bounds(flights=0, ticks=1, sets=(_THREE, (0, 1)), granted=_HELD),
+    Bounds(flights=0, ticks=1, sets=((0, 1), _THREE), granted=((0, 1),) * 3),
+    Bounds(flights=0, ticks=1, epochs=2, asks=2, sets=((0,), (0, 1), (1,)), granted=((0,), (), (0,))),
+)  # fmt: skip
 WIDE = Bounds(asks=5, epochs=3, ticks=14, lags=1, flights=6, restarts=1)
--- a/lemonridge/lab/command.py
+++ b/lemonridge/lab/command.py
@@ -149,11 +149,23 @@
 
 def _bench_policy(options: argparse.Namespace) -> int:
     """What docs/policy-change.md states: 1 where a state is wrong."""
-    if options.part == "switch":
+    if options.part in ("switch", "processes"):
         from lemonridge.lab.measure import rollout as measured
 
-        for row in measured.figures():
-            print(line(row), flush=True)
+        rows = []
+        if options.part == "processes" or options.plot:
+            from lemonridge.lab.measure import rollout_live
+
+            for size in rollout_live.SIZES:
+                rows += rollout_live.figures(options.seed, (size,))
+                print(line(rows[-1]), flush=True)
+        if options.part == "switch":
+            model = measured.figures()
+            rows += model
+            for row in model:
+                print(line(row), flush=True)
+        if options.plot:
+            measured.plot(rows, options.plot)
         return 0
     from lemonridge.lab.checkers import rollout
 
@@ -164,7 +176,9 @@
         broken = broken or bool(found.broken) or not found.whole
         print(line({"bench": "policy", "part": what, "tries": sum(bounds.tries), "wipes": bounds.wipes,
                     "crashes": bounds.crashes, "asks": bounds.asks, "ticks": bounds.ticks,
-                    "flights": bounds.flights, "lags": bounds.lags, "states": found.states,
+                    "flights": bounds.flights, "lags": bounds.lags, "restarts": bounds.restarts,
+                    "epochs": bounds.epochs, "states": found.states,
+                    "voters": "-".join(str(len(one)) for one in bounds.sets) or "all",
                     "whole": int(found.whole), "broken": found.broken or "none"}), flush=True)  # fmt: skip
         for move in found.path:
             print(f"  {move}")
--- a/lemonridge/lab/links/datagrams.py
+++ b/lemonridge/lab/links/datagrams.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 from collections import Counter
+from contextlib import ExitStack
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -56,7 +57,7 @@
         self.stretches = {(i, j): Stretch() for i in range(count) for j in range(count) if i != j}
         self.counts: Counter[str] = Counter()
         self.bytes = 0
-        self.ports = [free_port() for _ in range(count)]
+        self.ports: list[int] = []  # the brokers', once it is started
         self._random = Random(f"{seed}/network")
         self._ends: dict[tuple[int, int], _End] = {}
 
@@ -65,6 +66,7 @@
         for pair in self.stretches:
             _, self._ends[pair] = await loop.create_datagram_endpoint(
                 lambda pair=pair: _End(self, *pair), local_addr=("127.0.0.1", 0))  # type: ignore[misc]
+        self.ports = free_ports(self.count)  # after its own ends, which would else be given some of them
         return self
 
     def stop(self) -> None:
@@ -139,8 +141,10 @@
     return made
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_DGRAM) -> int:
-    """A port of loopback that the system chose and no one has now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+def free_ports(count: int) -> list[int]:
+    """Ports of loopback for datagrams, each another, that the system chose and no one has now."""
+    with ExitStack() as held:
+        probes = [held.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
--- a/lemonridge/lab/load/http.py
+++ b/lemonridge/lab/load/http.py
@@ -23,7 +23,7 @@
 from lemonridge.lab.program import Program, ProgramError
 from lemonridge.lab.standins.platform import Discovery, DiskNode
 
-READY_S = 15.0  # for the broker's first list
+READY_S = 30.0  # for the first list, and for the first lease where 32 start at once
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonridge/lab/measure/rollout.py
+++ b/lemonridge/lab/measure/rollout.py
@@ -151,11 +151,14 @@
         return self
 
 
-def _change(size: int, loss: float, seed: int, span_us: int = machine.SPAN_US, dead: bool = False
+def _change(size: int, loss: float, seed: int, span_us: int = machine.SPAN_US, dead: bool = False,
+            error_us: int = machine.ERROR_US, prepared: Callable[[Net], None] = lambda net: None
             ) -> tuple[float, float]:
     """Seconds from a proposal until all that are up go by the new policy alone, and the longest rest (by the
     floor alone) of any of them meanwhile."""
-    net = Net(size, seed, span_us=span_us).steady()
+    net = Net(size, seed, error_us, span_us)
+    prepared(net)
+    net.steady()
     net.loss = loss
     if dead:
         net.kill(size - 1)
@@ -181,6 +184,15 @@
     return (net.bytes - before) / 4.0 / size
 
 
+def _clocks(error_ms: int, seed: int) -> tuple[float, float]:
+    """As `_change`, one of five dead, where two clocks are off by the stated error over a lease, one each
+    way."""
+    def skewed(net: Net) -> None:
+        net.slow[0], net.slow[1] = 1 - error_ms * 1000 / net.span_us, 1 + error_ms * 1000 / net.span_us
+
+    return _change(5, 0.0, seed, dead=True, error_us=error_ms * 1000, prepared=skewed)
+
+
 def _apart(span_us: int, seconds: float = 10.0) -> float:
     """The share of a time cut off in which a broker goes by the floor."""
     net = Net(5, span_us=span_us).steady()
@@ -204,9 +216,48 @@
                          "force_most_s": round(max(one for one, _ in took), 2),
                          "floor_most_s": round(max(one for _, one in took), 2)})  # fmt: skip
         rows.append({"measure": "rest", "brokers": brokers, "bytes_s": round(_rest(brokers))})
-    for span_ms in (500, 1000, 2000, 4000):
+    for span_ms in (500, 1000, 2000, 4000, 8000):
         took = [_change(5, 0.0, seed, span_ms * 1000, dead=True) for seed in range(seeds)]
         rows.append({"measure": "lease", "lease_ms": span_ms,
                      "one_dead_s": round(median(one for one, _ in took), 2),
-                     "cut_off_floor": round(_apart(span_ms * 1000), 2)})  # fmt: skip
+                     "cut_off_floor": round(_apart(span_ms * 1000), 2),
+                     "cut_off_floor_60s": round(_apart(span_ms * 1000, 60.0), 2)})  # fmt: skip
+    for error_ms in (1, 10, 50, 100, 200):
+        took = [_clocks(error_ms, seed) for seed in range(seeds)]
+        rows.append({"measure": "clock", "error_ms": error_ms,
+                     "one_dead_s": round(median(one for one, _ in took), 2),
+                     "force_most_s": round(max(one for one, _ in took), 2),
+                     "floor_most_s": round(max(one for _, one in took), 2)})  # fmt: skip
     return rows
+
+
+def plot(rows: list[dict[str, object]], path: str) -> None:
+    """Time to force by size and loss, and what a broker that is cut off loses by the length of its lease."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    matplotlib.rcParams["svg.hashsalt"] = "lemonridge"  # the same file for the same figures
+    from matplotlib import pyplot as plt
+
+    def told(measure: str, key: str, **among: object) -> list[float]:
+        return [float(str(row[key])) for row in rows if row["measure"] == measure
+                and all(row[name] == value for name, value in among.items())]  # fmt: skip
+
+    shape, (left, right) = plt.subplots(1, 2, figsize=(10, 4))
+    for loss in (0.0, 0.1, 0.3):
+        left.plot(told("switch", "brokers", loss=loss), told("switch", "force_s", loss=loss), marker="o",
+                  label=f"model, {loss:.0%} lost")  # fmt: skip
+    if told("processes", "brokers"):
+        left.plot(told("processes", "brokers"), told("processes", "force_s"), marker="s", linestyle="--",
+                  label="processes, none lost")  # fmt: skip
+    left.set(xlabel="brokers", ylabel="s until all go by a change", xscale="log", ylim=(0, None))
+    for key, seconds in (("cut_off_floor", 10), ("cut_off_floor_60s", 60)):
+        right.plot(told("lease", "lease_ms"), told("lease", key), marker="o",
+                   label=f"cut off for {seconds} s")  # fmt: skip
+    right.set(xlabel="lease, ms", ylabel="share of that time on the floor", ylim=(0, 1))
+    for axes in (left, right):
+        axes.grid(alpha=0.3)
+        axes.legend()
+    shape.tight_layout()
+    shape.savefig(path, metadata={"Date": None} if path.endswith(".svg") else None)
+    plt.close(shape)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from random import Random
 from unittest import mock
 
@@ -290,14 +291,28 @@
             self.assertIn(word, told)
 
     def test_every_state_of_neighbours_and_the_faults_that_are_found_there(self) -> None:
-        three, held = (0, 1, 2), ((0, 1), (0, 1), (1, 2))
-        for bounds in (checker.Bounds(flights=0, ticks=1, sets=(three, (0, 1)), granted=held),
-                       checker.Bounds(flights=0, ticks=1, sets=((0, 1), three), granted=((0, 1),) * 3)):
+        kinds = [bounds for bounds in checker.STATED_LEASES if bounds.sets]
+        for bounds in kinds[:2]:
             found = checker.leases(bounds)
             self.assertEqual((found.broken, found.whole), ("", True))
-        two = checker.Bounds(flights=0, ticks=1, sets=(three, (0,)), granted=held)
+        two = replace(kinds[0], sets=(kinds[0].sets[0], (0,)))
         self.assertIn("they go by", checker.leases(two).broken)  # two voters at a time
 
+        def earlier(made: leases.Holder, interval: leases.Interval) -> list[tuple[int, ...]]:
+            return [made.voters if interval[0] == made.want else made.before]
+
+        with mock.patch.object(leases.Holder, "_sets", earlier):  # of two epochs the first one's voters alone
+            self.assertIn("they go by", checker.leases(kinds[2]).broken)
+
+    def test_who_is_which_counts_once_where_all_begin_alike(self) -> None:
+        start, moves, _ = checker._leasing(checker.Bounds(flights=1, ticks=1))
+        after = dict(moves(start))
+        for name in ("{} asks, {} answers, {} answers", "{} accepts"):
+            keys = {checker._renamed(after[name.format(n, *(m for m in range(3) if m != n))])
+                    for n in range(3)}  # fmt: skip
+            self.assertEqual(len(keys), 1, name)
+        self.assertNotEqual(checker._renamed(after["0 accepts"]), checker._renamed(start))
+
 
 class Emergency(unittest.TestCase):
     """A majority of the voters is lost for good."""
