--- a/lemonridge/governance.py
+++ b/lemonridge/governance.py
@@ -172,8 +172,7 @@
                 self._queue.pop()  # nothing was to be said between the two
             self._queue.append(action)
         while len(self._queue) > QUEUE_MAX:  # the disk is slow: what was to be said is lost, as on a link
-            lost = next((one for one in self._queue if isinstance(one, Say)), self._queue[0])
-            self._queue.remove(lost)
+            self._queue.remove(next(one for one in self._queue if isinstance(one, Say)))
         self._pump()
         if self._mode != self._now():
             self._decider.look()
--- a/lemonridge/lab/checkers/rollout.py
+++ b/lemonridge/lab/checkers/rollout.py
@@ -262,14 +262,9 @@
     def clock(fleet: Fleet, n: int) -> int:
         return fleet.at - fleet.lag[n]
 
-    def posted(fleet: Fleet, messages: list[tuple[Any, ...]]) -> Iterator[Fleet]:
-        """With each of some messages lost or under way, as far as there is room."""
-        if not messages:
-            yield fleet
-            return
-        yield from posted(fleet, messages[1:])
-        if len(fleet.sent) < bounds.flights:
-            yield from posted(fleet._replace(sent=tuple(sorted((*fleet.sent, messages[0])))), messages[1:])
+    def posted(fleet: Fleet, message: tuple[Any, ...]) -> Fleet:
+        """With a message under way."""
+        return fleet._replace(sent=tuple(sorted((*fleet.sent, message))))
 
     def with_holder(fleet: Fleet, n: int, made: Holder) -> Fleet:
         return fleet._replace(holders=_put(fleet.holders, n, _holder_row(made, clock(fleet, n))))
@@ -303,7 +298,7 @@
             yield name, one
             if len(one.sent) < bounds.flights:
                 message = ("ask", voter, n, one.lives[n], ask, uses, want)
-                yield f", {voter} later{name}", one._replace(sent=tuple(sorted((*one.sent, message))))
+                yield f", {voter} later{name}", posted(one, message)
             after, told = vote(one, voter, n, one.lives[n], ask, uses, want)
             made = _holder(after.holders[n], bounds)
             made.granted(voter, ask, told, clock(after, n))
@@ -316,9 +311,9 @@
         kind, voter, n, life, ask = message[:5]
         if kind == "ask":
             after, told = vote(fleet, voter, n, life, ask, message[5], message[6])
-            answers = [("grant", voter, n, life, ask, told)] if told != NOTHING else []
-            for one in posted(after, answers):
-                yield f"comes {message}", one
+            yield f"comes {message}", after  # its answer is lost, or there is none
+            if told != NOTHING and len(after.sent) < bounds.flights:
+                yield f"comes {message}", posted(after, ("grant", voter, n, life, ask, told))
         elif life == fleet.lives[n]:
             made = _holder(fleet.holders[n], bounds)
             made.granted(voter, ask, message[5], clock(fleet, n))
--- a/lemonridge/lab/drills/policy.py
+++ b/lemonridge/lab/drills/policy.py
@@ -1,5 +1,5 @@
 """The drill `policy`: a fleet's policy is changed every few seconds, while brokers are killed, stopped and
-cut off, also the one that proposes, and stores of votes are lost or cut.
+cut off, also the one that proposes, stores of votes are lost or cut, and votes are taken away and given back.
 
 Its last part is calm: there all have to come together.
 """
@@ -34,6 +34,10 @@
 ENOUGH = 1 / 3  # of the sound proposals that must come into force
 UNSOUND = 0.2  # of the proposals one broker cannot decide by
 ASK_S = 0.1
+VOTERS_LEAST = 4
+VOTE_S = 9.0  # between two votes that are taken away
+VOTE_LOOK_S = 0.5
+UP_S = LEASE_MS / 1000 + 0.3  # a voter that starts grants nothing for a lease and the error of clocks
 
 
 @dataclass(frozen=True)
@@ -58,6 +62,8 @@
         self.busy: set[int] = set()  # brokers that something is done to
         self.wipes = 0
         self.came: set[str] = set()  # notes of changes that stood in any history
+        self.voting, self.votes = Random(f"{options.seed}/votes"), 0  # taken away or given
+        self.few, self._voted_s = False, 0.0  # whether few are left; the first is not taken at once
         self._wiped_s = -WIPE_S
         self.switches: list[float] = []
 
@@ -80,6 +86,35 @@
             number += 1  # what one of them cannot decide by came into force while it was not there
             await self._propose(f"change {number}", False)
 
+    async def vote(self) -> None:
+        """Take a vote away and give it back, now and then. Of four voters only one can be missed, and two
+        faults are drawn at a time: so it waits until all are up, as operators would, and no process dies
+        until the vote is given back; links do."""
+        await asyncio.sleep(4.0)
+        while self.rig.now() < self.calm_s:
+            broker = self.rig.brokers[self.voting.randrange(len(self.rig.brokers))]
+            try:
+                voters = (await self.seen(broker))["voters"]
+                due = self.rig.now() - self._voted_s > VOTE_S
+                self.few = due or len(voters) <= VOTERS_LEAST
+                if len(voters) <= VOTERS_LEAST:
+                    gone = next(one for one in self.rig.brokers if f"b{one.number}" not in voters)
+                    await self.ask(gone, "policy-admit")
+                    self.votes += 1
+                elif due and self._up_s() > UP_S:
+                    self._voted_s = self.rig.now()
+                    await self.ask(broker, f"policy-retire {self.voting.choice(voters)}")
+                    self.votes += 1
+            except CallError:
+                pass  # it is down, or cannot propose now
+            await asyncio.sleep(VOTE_LOOK_S)
+        self.few = False
+
+    def _up_s(self) -> float:
+        """For how long all processes have run."""
+        ends = [end for one in self.rig.brokers for _, end in one.down]
+        return 0.0 if self.busy else self.now() - max(ends, default=self.rig.begun)
+
     async def _faults(self) -> bool:
         """Whether a broker is not there, or says that it cannot decide by the policy that is in force."""
         try:
@@ -176,7 +211,7 @@
             broker = self.rig.brokers[self.chaos.randrange(len(self.rig.brokers))]
             away = self.chaos.uniform(0.3, 3.0)
             kind = ("kill", "stop", "kill")[turn % 3]
-            if broker.number in self.busy:
+            if broker.number in self.busy or self.few:
                 continue
             turn += 1
             if kind == "kill":
@@ -253,7 +288,7 @@
         drill = Drill(options, rig)
         tasks = [clients.run(askers(options.brokers, site), options.seconds), drill.change(), drill.watch()]
         if options.faults:
-            tasks.append(drill.trouble())
+            tasks += [drill.trouble(), drill.vote()]
         await asyncio.gather(*tasks)
         ends = await drill.together()
         await rig.stop()
@@ -270,6 +305,7 @@
         "rejected": sum(one.end == "nowhere" for one in drill.proposed),
         "aborted": sum(one.end in ("another", "unknown", "") for one in drill.proposed),
         "epoch": ends[0]["epoch"], "kills": sum(one.kills for one in rig.brokers), "wipes": drill.wipes,
+        "votes": drill.votes,
         "splits": rig.splits, "stops": sum(one.stops for one in rig.brokers),
         "mixed_epochs": found.mixed_epochs, "half_changes": found.half_changes,
         "lost_changes": found.lost_changes, "stale_serving": found.stale_serving,
