Force a start without a policy by cut links, and wait in its tests as elsewhere

From reading the change once more: a test looked for a broker that is not ready between its start and its first lease, a moment of 0.08, 0.13 and 1.07 s in three plays, which a paused machine can miss. All links are cut now until it was seen, so the order is forced; the check is the same. They wait as the harness does, and the settings' times are longer than that.

--- a/tests/test_rollout_iscsi.py
+++ b/tests/test_rollout_iscsi.py
@@ -21,7 +21,7 @@
 from lemonridge.net.calling import CallError, call
 from lemonridge.rollout import document
 from lemonridge.rollout.wishes import AGAIN_US, STAGGER_US, Wish
-from tests.harness import ROOT, Initiator, Program, Target
+from tests.harness import PATIENCE_S, ROOT, Initiator, Program, Target
 
 LEASE_MS, BROKERS = 1000, 3
 
@@ -100,8 +100,8 @@
         text = (ROOT / "deploy" / "iscsi.toml").read_text()
         text = text[: text.index("[[node]]")].replace("127.0.0.1:3260", "127.0.0.1:0")
         for old, new in (("brokers = 1 ", f"brokers = {BROKERS} "),
-                         ("connect_timeout_ms = 250", "connect_timeout_ms = 9000"),
-                         ("aim_ms = 300\ndeadline_ms = 2500", "aim_ms = 9000\ndeadline_ms = 9000"),
+                         ("connect_timeout_ms = 250", "connect_timeout_ms = 30000"),
+                         ("aim_ms = 300\ndeadline_ms = 2500", "aim_ms = 30000\ndeadline_ms = 30000"),
                          ('plan = "standard"\nshard = 0', 'plan = "basic"\nshard = 0')):  # fmt: skip
             assert old in text, old
             text = text.replace(old, new)
@@ -125,9 +125,9 @@
         told: dict[str, Any] = orjson.loads(await call(self.admins[number], "policy"))
         return told
 
-    async def by(self, epoch: int, *numbers: int, within_s: float = 5.0) -> None:
+    async def by(self, epoch: int, *numbers: int) -> None:
         """Until these go by an epoch alone."""
-        until = time.monotonic() + within_s
+        until = time.monotonic() + PATIENCE_S  # of a disk that takes its time, too: each vote is synced
         while [(await self.seen(n))["goes_by"] for n in numbers] != [[epoch, epoch]] * len(numbers):
             self.assertLess(time.monotonic(), until, [await self.seen(n) for n in numbers])
             await asyncio.sleep(0.02)
@@ -159,27 +159,27 @@
         await self.by(0, 0, 1, 2)
         before = self.limit(await self.seen(0))
         await self.programs[2].end(signal.SIGKILL)
-        for pair in ((0, 1), (1, 0)):
-            self.network.stretches[pair].cut = True
+        for stretch in self.network.stretches.values():
+            stretch.cut = True
         row = {"rate": 1000, "weight": 1, "limit": 2 * before, "burst": 2 * before}
         self.etcd.put("/lr/plans/basic", row)
-        until = time.monotonic() + 4.0
+        until = time.monotonic() + PATIENCE_S
         while (await self.seen(0))["goes_by"] != "floor":
             self.assertLess(time.monotonic(), until)
             await asyncio.sleep(0.02)
         self.assertEqual((await self.seen(0))["epoch"], 0)  # nobody may decide
         self.programs[2] = await self.start(2)
-        told = ""
-        while "no policy in force yet" not in told:  # as it starts it goes by nothing yet
-            self.assertNotEqual(told, "serving")
-            self.assertLess(time.monotonic(), until + 4.0, told)
+        told = "Connect call failed"
+        while "Connect call failed" in told:  # it listens for operators last
+            self.assertLess(time.monotonic(), until + PATIENCE_S, told)
             try:
                 told = await call(self.admins[2], "ready")
             except CallError as error:
                 told = str(error)
-        for pair in ((0, 1), (1, 0)):
-            self.network.stretches[pair].cut = False
-        await self.by(1, 0, 1, 2, within_s=8.0)
+        self.assertIn("no policy in force yet", told)  # it hears nobody, so it goes by nothing
+        for stretch in self.network.stretches.values():
+            stretch.cut = False
+        await self.by(1, 0, 1, 2)
 
     async def test_an_attempt_that_was_decided_by_another_epoch_is_not_sent(self) -> None:
         """Its login to the node takes as long as the change: it is withheld, and decided on again."""
