Keep commands that wait for a login in their order

Callers saw: two commands of one iSCSI session reached the node as 2, 1 (two writes to one block too), when the second came as the login to the node ended.

Cause: each awaited asyncio.shield of the login's task. A shield of a task that has ended does not suspend, while those that waited resume two turns of the loop later, so whatever came in these turns passed all of them.

Change: a command that finds others waiting waits behind them, on a callback of the login, which are called in the order in which they were added. The other shields (a request's answer, a route's update) have one waiter each.

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -6,6 +6,7 @@
 import itertools
 import logging
 import secrets
+from collections import Counter
 from dataclasses import dataclass, field
 
 from lemonridge.config.address import Address
@@ -72,7 +73,10 @@
 
     def __init__(self, config: IscsiConfig, directory: EndpointRegistry, counters: Counters) -> None:
         self._config, self._directory, self._counters = config, directory, counters
+        self._loop = asyncio.get_running_loop()
         self._sessions: dict[str, asyncio.Task[EndpointSession]] = {}
+        # How many commands wait for each login. It counts them until they resume, turns after it has ended.
+        self._login_waiters: Counter[asyncio.Task[EndpointSession]] = Counter()
 
     async def attempt(self, attempt: Attempt) -> Outcome:
         """Send the command once and wait for its status."""
@@ -118,7 +122,11 @@
         self._sessions.clear()
 
     async def _session(self, address: str) -> EndpointSession:
-        """The session with a node; commands that come while it is being made wait for the same one."""
+        """The session with a node; commands that come while it is being made wait for the same one.
+
+        They go on in the order in which they came (RFC 7143, 4.2.2.1: commands reach the device in the order
+        of their numbers).
+        """
         opening = self._sessions.get(address)
         if opening is not None and opening.done() and not _usable(opening, self._config.keepalive_us):
             opening = None
@@ -129,12 +137,37 @@
                     del self._sessions[other]
             opening = self._sessions[address] = asyncio.create_task(self._open(address))
         try:
-            return await asyncio.shield(opening)
+            if not opening.done() or self._login_waiters[opening]:
+                await self._wait_in_line(opening)
+            return opening.result()
         except OSError as error:  # a connect that took too long is a TimeoutError, an OSError
             raise (LocalFailureError if error.errno in LOCAL_ERRORS else ConnectFailedError) from None
         except (EOFError, PduError):
             raise ConnectFailedError from None
 
+    async def _wait_in_line(self, opening: asyncio.Task[EndpointSession]) -> None:
+        """Wait for the end of a login, behind each command that waits for it already.
+
+        A callback takes its turn behind those that were added before, also where the login has ended: a shield
+        of it would not suspend, and pass them all.
+        """
+        login_ended: asyncio.Future[None] = self._loop.create_future()
+
+        def on_login_ended(ended: asyncio.Task[EndpointSession]) -> None:
+            if not ended.cancelled():
+                ended.exception()  # asyncio logs one that nobody has asked for
+            if not login_ended.done():
+                login_ended.set_result(None)
+
+        opening.add_done_callback(on_login_ended)
+        self._login_waiters[opening] += 1
+        try:
+            await login_ended
+        finally:
+            self._login_waiters[opening] -= 1
+            if not self._login_waiters[opening]:
+                del self._login_waiters[opening]
+
     async def _open(self, address: str) -> EndpointSession:
         portal, _, target = address.partition("/")
         at = Address.parse(portal, "a node's address")
