Open the operators' address before the iSCSI front says that it listens

Callers saw: an operator's script that waited for event=listening and then called the broker was refused (Connection refused).

Cause: iscsi_service began to accept and logged the line; the process opened the operators' address after it had returned.

Change: the address is opened first, the front last; `ready` says no until clients can connect. The platform's front has that order already; the fleet's UDP address is bound in the background, as a successor waits for it.

--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -83,6 +83,11 @@
             if connection.session is None:
                 connection.close()
 
+    @property
+    def listens(self) -> bool:
+        """Whether initiators can connect."""
+        return self._listener is not None and self._listener.listens
+
     @property
     def busy(self) -> bool:
         return bool(self.connections) or any(session.tasks for session in self.sessions.values())
--- a/lemonridge/operate/admin_calls.py
+++ b/lemonridge/operate/admin_calls.py
@@ -62,6 +62,7 @@
     TAKING_OVER = "not in charge yet"
     OTHER_PROCESS_SILENT = "the other process of this broker does not answer"
     NO_ENDPOINT_LIST = "no list of nodes yet"
+    NOT_LISTENING = "no client can connect"
     NO_POLICY = "no policy in force yet"
     NO_PEERS = "this broker speaks to no peers"
     NO_FLEET_POLICY = "this broker goes by its own file"
--- a/lemonridge/service/admin.py
+++ b/lemonridge/service/admin.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 
 import orjson
 
@@ -169,9 +170,16 @@
             self._handover.stop()
 
 
-async def listen_for_fleet_calls(service: Service, address: Address) -> None:
+async def listen_for_fleet_calls(
+    service: Service, address: Address, front_listens: Callable[[], bool]
+) -> None:
     """Answers calls about the fleet at a broker without the platform's front.
 
+    Args:
+        service: The broker's one front.
+        address: Where operators call.
+        front_listens: Whether clients can connect.
+
     Raises:
         OSError: The address cannot be had.
     """
@@ -183,6 +191,8 @@
         if request.call is AdminCall.READY:
             if service.coordinator is not None and not service.coordinator.has_lease():
                 return AdminReply(False, ReplyText.NO_POLICY)
+            if not front_listens():
+                return AdminReply(False, ReplyText.NOT_LISTENING)
             has_list = service.registry.has_list
             return AdminReply(has_list, ReplyText.SERVING if has_list else ReplyText.NO_ENDPOINT_LIST)
         if request.call in POLICY_CALLS:
--- a/lemonridge/service/iscsi.py
+++ b/lemonridge/service/iscsi.py
@@ -25,6 +25,7 @@
 from lemonridge.iscsi.portal import IscsiFront
 from lemonridge.iscsi.reservation_file import ReservationFile
 from lemonridge.scheduling.events import EndpointListUpdate
+from lemonridge.service.admin import listen_for_fleet_calls
 from lemonridge.service.peers import connect_peers
 from lemonridge.service.service import Service
 
@@ -38,6 +39,8 @@
 async def iscsi_service(config: IscsiConfig, fleet: FleetConfig | None = None) -> Service:
     """The iSCSI front of an operator's file, which listens once this returns.
 
+    It listens last: whoever sees that it does can call this broker at its operators' address too.
+
     Raises:
         ConfigError: A part of the configuration cannot be used.
         OSError: An address to listen on cannot be had.
@@ -58,6 +61,8 @@
         coordinator = await connect_peers(service, fleet, config, _random_seed)
         if coordinator is not None and etcd is not None:
             etcd.follow(coordinator.propose_plans)
+        if fleet.admin is not None:
+            await listen_for_fleet_calls(service, fleet.admin, lambda: front.listens)
     await front.start(config.listen)
     return service
 
--- a/lemonridge/service/process.py
+++ b/lemonridge/service/process.py
@@ -10,7 +10,6 @@
 from lemonridge.config.errors import ConfigError
 from lemonridge.config.fleet import FleetConfig
 from lemonridge.config.platform import PlatformConfig, load, read_file_content
-from lemonridge.service.admin import listen_for_fleet_calls
 from lemonridge.service.ignored_signals import STOP_SIGNALS
 from lemonridge.service.platform import platform_service
 from lemonridge.service.service import Service
@@ -90,10 +89,7 @@
 
         # A process is one fleet member. Where the platform's front runs too, that front is the member.
         fleet = self._fleet if self._platform is None else None
-        service = await iscsi_service(iscsi, fleet)
-        if fleet is not None and fleet.admin is not None:
-            await listen_for_fleet_calls(service, fleet.admin)
-        self._services.append(service)
+        self._services.append(await iscsi_service(iscsi, fleet))
 
     def _reload(self) -> None:
         """Reads the platform's file again. A file that cannot be used changes nothing."""
