Keep a surplus copy of one answer from answering the next request

Cause: the reuse delay of 10 ms was compared with the clock. A turn of the loop that is held up for longer uses it up, and nothing that was due meanwhile has come; in the test the node shares that loop. Beside it: a request with a body is written one turn after its connection was taken and asked for unread input, and what came in that turn was read as the response to it.

Change: the end of the delay is a timer of the loop, which fires after the next look at all sockets. In the step that writes the first byte the connection is asked once more; if anything came, the attempt is held back, does not count, and is decided on anew.

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -148,8 +148,8 @@
     async def _wait_in_line(self, opening: asyncio.Task[EndpointSession]) -> None:
         """Wait for the end of a login, behind each command that waits for it already.
 
-        A callback takes its turn behind those that were added before, also where the login has ended: a shield
-        of it would not suspend, and pass them all.
+        A callback takes its turn behind those that were added before, even once the login has ended. A shield
+        of a login that has ended would not suspend, and pass them all.
         """
         login_ended: asyncio.Future[None] = self._loop.create_future()
 
--- a/lemonridge/net/endpoint_connector.py
+++ b/lemonridge/net/endpoint_connector.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from contextvars import ContextVar
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -20,6 +21,9 @@
 IDLE_FRACTION = 0.9  # of the time after which an endpoint closes an idle connection
 IDLE_MARGIN_S = 0.2  # at least that much before: the process may be held up before it writes, and get a reset
 
+# The connection that the request of the running task goes out on.
+request_connection: ContextVar[ResponseReader] = ContextVar("request_connection")
+
 
 def idle_limit_s(keepalive_us: int) -> float:
     """How long an idle connection is reused, in seconds, where endpoints close it after `keepalive_us`."""
@@ -64,9 +68,12 @@
         """
         try:
             async with asyncio.timeout_at(self._loop.time() + self._connect_us / 1e6):
-                return await super().connect(req, traces, timeout)
+                connection = await super().connect(req, traces, timeout)
         except TimeoutError:
             raise ConnectFailedError from None
+        if isinstance(connection.protocol, ResponseReader):
+            request_connection.set(connection.protocol)
+        return connection
 
     async def _create_connection(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
@@ -81,14 +88,14 @@
         loop may not have read it yet.
         """
         if idle := self._conns.get(key):
-            reusable = next((one for one in idle if self._reuse_delay_s(one[0]) <= 0), idle[0])
+            reusable = next((one for one in idle if _reusable(one[0])), idle[0])
             idle.remove(reusable)
             idle.appendleft(reusable)
         while (connection := await super()._get(key, traces)) is not None:
             protocol = connection.protocol
             try:
-                if (delay_s := self._reuse_delay_s(protocol)) > 0:
-                    await asyncio.sleep(delay_s)
+                if isinstance(protocol, ResponseReader):
+                    await self._reuse_delay_over(protocol)
             except BaseException:
                 connection.close()
                 raise
@@ -99,11 +106,14 @@
             connection.close()
         return None
 
-    def _reuse_delay_s(self, protocol: ResponseHandler | None) -> float:
-        """How much longer a connection must not be reused, in seconds; 0 or less: it may be."""
-        if not isinstance(protocol, ResponseReader):
-            return 0.0
-        return protocol.reusable_at_s - self._loop.time()
+    async def _reuse_delay_over(self, protocol: ResponseReader) -> None:
+        """Wait until the connection may be reused.
+
+        Its timer decides and not the clock: in a turn of the loop that was held up for longer than the delay,
+        nothing that arrived meanwhile has been read. The timer fires after the next look at all sockets.
+        """
+        while not protocol.reusable:
+            await asyncio.sleep(max(0.0, protocol.reusable_at_s - self._loop.time()))
 
     def _release(self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False) -> None:
         """Give a connection back, on the left.
@@ -112,8 +122,15 @@
         back on the left, the ones that are not needed grow old and are closed.
         """
         if isinstance(protocol, ResponseReader):
-            protocol.reusable_at_s = self._loop.time() + REUSE_DELAY_S
+            protocol.is_reused = True
+            protocol.reusable, protocol.reusable_at_s = False, self._loop.time() + REUSE_DELAY_S
+            self._loop.call_at(protocol.reusable_at_s, protocol.allow_reuse)
         super()._release(key, protocol, should_close=should_close)
         idle = self._conns.get(key)
         if idle and idle[-1][0] is protocol:
             idle.rotate(1)
+
+
+def _reusable(protocol: ResponseHandler) -> bool:
+    """Whether a connection is past its reuse delay."""
+    return not isinstance(protocol, ResponseReader) or protocol.reusable
--- a/lemonridge/net/http_endpoints.py
+++ b/lemonridge/net/http_endpoints.py
@@ -17,7 +17,7 @@
 from lemonridge.core.endpoint_registry import EndpointRegistry
 from lemonridge.core.errors import AttemptSuppressedError, ConnectFailedError, LocalFailureError
 from lemonridge.core.model import Attempt, Outcome
-from lemonridge.net.endpoint_connector import EndpointConnector
+from lemonridge.net.endpoint_connector import EndpointConnector, request_connection
 from lemonridge.net.http_client import Payload, plain_session
 from lemonridge.net.http_response import StreamedResponse, read_body
 from lemonridge.net.sockets import LOCAL_ERRORS
@@ -52,6 +52,7 @@
         self, registry: EndpointRegistry, clock: Clock, platform: PlatformConfig, counters: Counters
     ) -> None:
         self._registry, self._clock, self._in_flight_field = registry, clock, platform.in_flight_field
+        self._counters = counters
         self._loop = asyncio.get_running_loop()
         # The policy's epoch at the time of a decision, in seconds on the loop's clock; None: it has ended.
         self.epoch: Callable[[float], str | None] | None = None
@@ -72,7 +73,7 @@
         """Send the request once and read the response.
 
         Raises:
-            AttemptSuppressedError: nothing was sent, as the decision no longer holds.
+            AttemptSuppressedError: nothing was sent, as the decision or the connection no longer holds.
             ConnectFailedError: nothing was sent, as the endpoint accepts no connection.
             LocalFailureError: nothing was sent, as this machine had no socket, port or route.
         """
@@ -168,8 +169,15 @@
             raise AttemptSuppressedError
 
     def _begin(self, sending: _SendContext) -> None:
-        """Begin in the step that writes the first byte, or raise `AttemptSuppressedError`."""
+        """Begin in the step that writes the first byte, or raise `AttemptSuppressedError`.
+
+        A body is written a turn of the loop after its connection was taken, and what came in that turn would
+        be read as the response to it.
+        """
         self._check(sending)
+        if request_connection.get().has_surplus():
+            self._counters["connections.spoilt"] += 1
+            raise AttemptSuppressedError
         sending.attempt.begin()
 
     async def _outcome(self, response: aiohttp.ClientResponse) -> Outcome:
--- a/lemonridge/net/http_response.py
+++ b/lemonridge/net/http_response.py
@@ -13,6 +13,7 @@
 from lemonridge.net import http_headers
 from lemonridge.net.errors import ConnectionBrokenError, MessageRejectedError
 from lemonridge.net.http_limits import BODY_MAX_BYTES, BUFFERED_BODY_MAX_BYTES, HEAD_MAX_BYTES
+from lemonridge.net.sockets import input_is_empty
 
 log = logging.getLogger(__name__)
 
@@ -36,13 +37,31 @@
         self._body_bytes_left: int | None = 0  # None: as the body's chunks or its connection's end say
         self._informational = 0
         self._ends_with_connection = False
-        self.reusable_at_s = 0.0  # on the loop's clock
+        self.is_reused = False  # has carried a request before
+        self.reusable = True  # False from the release of the connection to the end of its reuse delay
+        self.reusable_at_s = 0.0  # when that delay ends, on the loop's clock
+
+    def allow_reuse(self) -> None:
+        """The reuse delay is over."""
+        self.reusable = True
 
     def set_response_params(self, **params: Any) -> None:
         """Expect a response; aiohttp calls this for each request, before it is sent."""
         super().set_response_params(**params)
         self._head, self._body_bytes_left, self._informational = bytearray(), 0, 0
 
+    def has_surplus(self) -> bool:
+        """Whether something came on a reused connection before the request that awaits its response.
+
+        Nothing of that request is written yet, so whatever came is no response to it; an end is no less
+        reason not to write it.
+        """
+        if not self.is_reused:
+            return False
+        transport = self.transport
+        read_already = self._head is None or len(self._head) > 0
+        return transport is None or read_already or not input_is_empty(transport)
+
     def data_received(self, data: bytes) -> None:
         """Forward what belongs to the awaited response; anything else ends the connection."""
         if not data:  # aiohttp's parser, which had paused, goes on with what it has buffered
--- a/tests/net/test_http_endpoints.py
+++ b/tests/net/test_http_endpoints.py
@@ -175,6 +175,35 @@
                 )
         self.assertEqual(self.node.opened, len(self.node.seen))
 
+    async def test_surplus_that_comes_before_a_body_is_written_is_no_answer_to_it(self) -> None:
+        """Guards against a write that a late copy of an answer acknowledges, and that never ran."""
+        loop, writers = asyncio.get_running_loop(), list[asyncio.StreamWriter]()
+
+        async def once(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            reply(writer, b"one")
+
+        self.node.script = once
+        for surplus in (b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\ntwo", b"", b"HTTP/1."):
+            with self.subTest(surplus=surplus):
+                self.assertEqual((await self.attempt()).reply, b"one")
+                seen, asked = len(self.node.seen), []
+
+                def address(_: str, asked: list[int] = asked, surplus: bytes = surplus) -> str:
+                    asked.append(1)
+                    if len(asked) == 2:  # the connection is taken, and the body is written a turn later
+                        loop.call_soon(writers[-1].write, surplus) if surplus else writers[-1].close()
+                    return f"127.0.0.1:{self.node.port}"
+
+                with mock.patch.object(self, "address", address):
+                    payload = Payload("PUT", "/write/1/2", {}, b"x")
+                    request = Request(0, 1, self.clock.now_us() + 2_000_000, 2, 0, 0, 2.0, 1, payload)
+                    attempt = Attempt(request, 0, "s-1")
+                    with self.assertRaises(AttemptSuppressedError):
+                        await self.nodes.attempt(attempt)
+                self.assertFalse(attempt.begun)
+                self.assertEqual(len(self.node.seen), seen)
+
     async def test_chunks_are_an_answer_too(self) -> None:
         self.bytes = [b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"] * 2
         self.node.script = self.raw
