Count answers whose client left before they were written

Cause: a request whose answer was decided on, and whose task was cancelled as its client had left before `serve` resumed, counted nothing; where the response could not be written, the ConnectionResetError went up to aiohttp's server.

Change: both count as answers.undelivered, the first also as the answer that it was, so that the sum is as many as were taken; neither is an error of the log.

--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -49,7 +49,8 @@
         """The final answer to a request.
 
         Cancelling this call means that nobody waits for its answer: the client has disconnected, or the front
-        has answered by itself as the process ends. Both are counted as `answers.client_gone`.
+        has answered by itself as the process ends. Both are counted as `answers.client_gone`; where an answer
+        had been decided on, as that answer and as `answers.undelivered`.
 
         The request's task goes on until its last attempt has ended, as the endpoint works on it too.
 
@@ -67,12 +68,19 @@
             if mailbox.settle(Answer(AnswerKind.CLIENT_GONE)):
                 self._decision_host.deliver(ClientDisconnected(mailbox.name))
                 self._counters["answers.client_gone"] += 1
-            elif isinstance(reply := mailbox.answer.result().reply, ReplyStream):
-                reply.close()
+            else:
+                self._count_undelivered(mailbox.answer.result())
             raise
         self._counters[f"answers.{answer.kind.value}"] += 1
         return answer
 
+    def _count_undelivered(self, answer: Answer) -> None:
+        """Counts an answer that was decided on, though its client has disconnected since."""
+        self._counters[f"answers.{answer.kind.value}"] += 1
+        self._counters["answers.undelivered"] += 1
+        if isinstance(answer.reply, ReplyStream):
+            answer.reply.close()
+
     async def run(self, mailbox: RequestMailbox) -> None:
         """Runs one request: makes each attempt that the scheduler decides on, and reports how it ended."""
         request, host = mailbox.request, self._decision_host
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -36,7 +36,8 @@
     """Serves the platform's clients.
 
     Counters: `requests.bad` (malformed), `requests.stopping` (taken while the process stops), `answers.cut`
-    (streamed responses that their endpoint did not complete).
+    (streamed responses that their endpoint did not complete), `answers.undelivered` (decided on, but the
+    client had disconnected before they were written; `Broker` counts those that it notices).
     """
 
     def __init__(
@@ -153,7 +154,10 @@
             log.info("response cut short, connection aborted", extra={"reason": str(error)})
             self._counters["answers.cut"] += 1
             connection.abort()  # the client sees that its length or its last chunk is missing
-            raise ConnectionResetError from None
+            return response
+        except ConnectionResetError:
+            self._counters["answers.undelivered"] += 1
+            return response
         finally:
             if isinstance(answer, StreamedResponse):
                 answer.close()
--- a/tests/core/test_broker.py
+++ b/tests/core/test_broker.py
@@ -174,6 +174,27 @@
         self.assertEqual([one.result for one in self.scheduler.of(AttemptEnded)], [AttemptResult.NOT_SENT])
         self.assertEqual(attempts, [])
 
+    async def test_an_answer_whose_client_leaves_before_it_is_given_is_counted(self) -> None:
+        """Guards against requests that are taken and stand in no counter of the answers."""
+        decided = asyncio.Event()
+
+        def react(_: Event) -> list[Action]:
+            decided.set()
+            return [Reject("r1", 0, RejectReason.DEADLINE_EXCEEDED)]
+
+        self.scheduler.react = react
+        serving = asyncio.create_task(self.broker.serve(self.request()))
+        await decided.wait()
+        serving.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await serving
+        await self.until_all_requests_are_closed()
+
+        self.assertEqual(
+            {name: count for name, count in self.counters.items() if name.startswith("answers.")},
+            {"answers.rejected": 1, "answers.undelivered": 1},
+        )
+
     async def test_a_disconnect_is_reported_once_and_its_attempt_ends_once(self) -> None:
         may_end = asyncio.Event()
 
