Give a final answer in the turn of the loop in which it is decided on

Callers saw: requests without an answer while a process was replaced in a surge.

Cause, a part of it: from the decision to its answer lay three turns of the loop (the task of the request, the shield of its answer, the task of the client), and each request had a task of its own from its arrival on, though most of a surge are rejected without an attempt. In a surge a turn takes up to 100 ms.

Change: `Broker.submit` takes a request and calls back with its answer as it is decided on; the task that makes attempts begins with the first of them. `serve` is the same as a coroutine, for the iSCSI front. A planted fault of the soak follows (its clients' disconnects are not told).

--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from lemonridge.core.counters import Counters
 from lemonridge.core.decision_host import DecisionHost
@@ -42,53 +43,95 @@
     ) -> None:
         self._decision_host, self._endpoints = decision_host, endpoints
         self._counters, self._routes = counters, routes
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._runners: dict[str, asyncio.Task[None]] = {}  # by the scheduler's name of the request
         self.open_ids = OpenIds()
 
-    async def serve(self, request: Request) -> Answer:
-        """The final answer to a request.
-
-        Cancelling this call means that nobody waits for its answer: the client has disconnected, or the front
-        has answered by itself as the process ends. Both are counted as `answers.client_gone`; where an answer
-        had been decided on, as that answer and as `answers.undelivered`.
+    def submit(self, request: Request, on_answer: Callable[[Answer], None]) -> RequestMailbox:
+        """Takes a request; `on_answer` gets its final answer, unless `disconnect` is called before.
 
-        The request's task goes on until its last attempt has ended, as the endpoint works on it too.
+        It is called in the turn of the event loop in which the answer is decided on: a busy loop would
+        deliver it that many turns later.
 
         Raises:
             DuplicateRequestError: A request with its id is open.
         """
         self.open_ids.open(request.request_id)
         mailbox = self._decision_host.open(request)
-        task = asyncio.create_task(self.run(mailbox))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._counters["requests.taken"] += 1
+        mailbox.on_send = lambda: self._start(mailbox)
+        mailbox.on_answer = lambda answer: self._on_answer(mailbox, answer, on_answer)
+        if self._routes is not None and request.route is not None:
+            self._routes.open(
+                request, lambda shard: self._decision_host.deliver(DataMigrated(mailbox.name, shard))
+            )
+        return mailbox
+
+    def disconnect(self, mailbox: RequestMailbox) -> None:
+        """Nobody waits for a request's answer any more: its client has disconnected.
+
+        The same where the front has answered by itself as the process ends. Both are counted as
+        `answers.client_gone`; where an answer had been decided on, as that answer and as
+        `answers.undelivered`. The request's task goes on until its last attempt has ended, as the endpoint
+        works on it too.
+        """
+        if mailbox.settle(Answer(AnswerKind.CLIENT_GONE)):
+            self._decision_host.deliver(ClientDisconnected(mailbox.name))
+        else:
+            self._counters["answers.undelivered"] += 1
+            assert mailbox.answer is not None
+            if isinstance(mailbox.answer.reply, ReplyStream):
+                mailbox.answer.reply.close()
+
+    async def serve(self, request: Request) -> Answer:
+        """The final answer to a request, as `submit` gives it; cancelling this call disconnects.
+
+        Raises:
+            DuplicateRequestError: A request with its id is open.
+        """
+        answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+        def on_answer(answer: Answer) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        mailbox = self.submit(request, on_answer)
         try:
-            answer = await asyncio.shield(mailbox.answer)
+            return await answered
         except asyncio.CancelledError:
-            if mailbox.settle(Answer(AnswerKind.CLIENT_GONE)):
-                self._decision_host.deliver(ClientDisconnected(mailbox.name))
-                self._counters["answers.client_gone"] += 1
-            else:
-                self._count_undelivered(mailbox.answer.result())
+            self.disconnect(mailbox)
             raise
-        self._counters[f"answers.{answer.kind.value}"] += 1
-        return answer
 
-    def _count_undelivered(self, answer: Answer) -> None:
-        """Counts an answer that was decided on, though its client has disconnected since."""
+    def _start(self, mailbox: RequestMailbox) -> None:
+        """Begins the task that makes the attempts, at the first that is decided on."""
+        if mailbox.name not in self._runners:
+            self._runners[mailbox.name] = asyncio.create_task(self.run(mailbox))
+
+    def _on_answer(
+        self, mailbox: RequestMailbox, answer: Answer, on_answer: Callable[[Answer], None]
+    ) -> None:
         self._counters[f"answers.{answer.kind.value}"] += 1
-        self._counters["answers.undelivered"] += 1
-        if isinstance(answer.reply, ReplyStream):
-            answer.reply.close()
+        if mailbox.name not in self._runners:  # else its task closes it, after its last attempt
+            self._close(mailbox)
+        if answer.kind is AnswerKind.CLIENT_GONE:
+            return
+        try:
+            on_answer(answer)
+        except Exception:  # the decisions that follow in this turn are not this request's
+            log.exception("answer not given by a fault in the front", extra={"request": mailbox.name})
+
+    def _close(self, mailbox: RequestMailbox) -> None:
+        """Forgets a request, which has its final answer and no attempt in flight."""
+        if self._routes is not None and mailbox.request.route is not None:
+            self._routes.close(mailbox.request)
+        self._decision_host.close(mailbox)
+        self.open_ids.close(mailbox.request.request_id)
+        self._runners.pop(mailbox.name, None)
 
     async def run(self, mailbox: RequestMailbox) -> None:
         """Runs one request: makes each attempt that the scheduler decides on, and reports how it ended."""
         request, host = mailbox.request, self._decision_host
         routes = self._routes if request.route is not None else None
         try:
-            self._counters["requests.taken"] += 1
-            if routes is not None:
-                routes.open(request, lambda shard: host.deliver(DataMigrated(mailbox.name, shard)))
             number = 0  # counts as the scheduler's `Request.attempts_sent` does
             while (send := await mailbox.next_send()) is not None:
                 sent_us = host.clock.now_us()
@@ -99,7 +142,7 @@
                 if outcome.result is AttemptResult.OK:
                     self._answer_served(mailbox, outcome)
                 host.deliver(self._attempt_ended(mailbox, attempt, outcome, latency_us))
-                if routes is not None and not mailbox.answer.done():
+                if routes is not None and mailbox.answer is None:
                     shard = await self._next_shard(mailbox, routes, outcome)
                     if shard != shard_at_send or outcome.result in RESULTS_THAT_NEED_A_SHARD:
                         host.deliver(DataMigrated(mailbox.name, shard))
@@ -110,10 +153,7 @@
         finally:
             if mailbox.settle(Answer(AnswerKind.FAILED)):
                 host.deliver(ClientDisconnected(mailbox.name))
-            if routes is not None:
-                routes.close(request)
-            host.close(mailbox)
-            self.open_ids.close(request.request_id)
+            self._close(mailbox)
 
     def _new_attempt(self, mailbox: RequestMailbox, number: int, send: Send) -> Attempt:
         return Attempt(
@@ -141,7 +181,7 @@
             endpoint_id=attempt.endpoint_id,
             result=outcome.result,
             latency_us=latency_us,
-            finished=mailbox.answer.done(),
+            finished=mailbox.answer is not None,
             volume_units=outcome.volume_units,
             peer_units=outcome.peer_units,
             endpoint_outstanding=outcome.endpoint_outstanding,
@@ -168,7 +208,7 @@
         attempt was decided on. An attempt of which no byte was sent cannot have run; any other may have,
         whatever ended it.
         """
-        if mailbox.answer.done():
+        if mailbox.answer is not None:
             return Outcome(AttemptResult.NOT_SENT)
         mailbox.attempt, mailbox.attempt_cancelled = attempt, False
         route = attempt.request.route
--- a/lemonridge/core/decision_host.py
+++ b/lemonridge/core/decision_host.py
@@ -161,7 +161,7 @@
         if mailbox.request.abandoned():
             self._counters["attempts.abandoned"] += 1
             return False
-        if mailbox.answer.done():
+        if mailbox.answer is not None:
             return False
         if self.lease_guard is not None and self.lease_guard.epoch(mailbox.decided_at_s) is None:
             return False
--- a/lemonridge/core/request_mailbox.py
+++ b/lemonridge/core/request_mailbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from lemonridge.core.model import Answer, AnswerKind, Attempt, Request
 from lemonridge.scheduling.actions import Cancel, Fail, Reject, Send
@@ -18,7 +19,9 @@
     Attributes:
         name: The scheduler's name for the request.
         request: The request.
-        answer: Resolves with the final answer.
+        answer: The final answer, once there is one.
+        on_send: Called with each attempt that is decided on, as it is.
+        on_answer: Called with the final answer, in the turn of the loop in which it is decided on.
         attempt: The attempt in flight.
         timeout_scope: Ends the attempt in flight.
         attempt_cancelled: Whether the attempt in flight was cancelled before the request's deadline.
@@ -27,7 +30,9 @@
 
     def __init__(self, name: str, request: Request) -> None:
         self.name, self.request = name, request
-        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.answer: Answer | None = None
+        self.on_send: Callable[[], None] = lambda: None
+        self.on_answer: Callable[[Answer], None] = lambda answer: None
         self.attempt: Attempt | None = None
         self.timeout_scope: asyncio.Timeout | None = None
         self.attempt_cancelled = False
@@ -41,12 +46,13 @@
         An attempt that has not written its first byte yet is cancelled; one that has goes on, as the endpoint
         works on it too.
         """
-        if self.answer.done():
+        if self.answer is not None:
             return False
-        self.answer.set_result(answer)
+        self.answer = answer
         if self.attempt is not None and not self.attempt.begun:
             self._cancel_attempt()
         self._notify_runner()
+        self.on_answer(answer)
         return True
 
     def deliver(self, action: Send | Cancel | Reject | Fail) -> None:
@@ -56,6 +62,7 @@
                 self._sends.append(action)
                 self.decided_at_s = asyncio.get_running_loop().time()
                 self._notify_runner()
+                self.on_send()
             case Cancel():
                 if self.attempt is not None and action.attempt == self.attempt.number:
                     self._cancel_attempt()
@@ -67,7 +74,7 @@
     async def next_send(self) -> Send | None:
         """Waits for the next attempt to make; None once the request has its final answer."""
         while not self._sends:
-            if self.answer.done():
+            if self.answer is not None:
                 return None
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
--- a/lemonridge/lab/soak_mutants.py
+++ b/lemonridge/lab/soak_mutants.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import signal
 from collections.abc import Callable
 
@@ -56,15 +55,8 @@
 def _sends_for_the_gone() -> None:
     from lemonridge.core.broker import Broker
     from lemonridge.core.decision_host import DecisionHost
-    from lemonridge.core.model import Answer, Request
 
-    async def serve(self: Broker, request: Request) -> Answer:
-        mailbox = self._decision_host.open(request)
-        task = asyncio.create_task(self.run(mailbox))
-        self._tasks.add(task)
-        return await asyncio.shield(mailbox.answer)
-
-    Broker.serve = serve  # type: ignore[method-assign]
+    Broker.disconnect = lambda self, mailbox: None  # type: ignore[method-assign]
     DecisionHost.may_begin = lambda self, mailbox, number: True  # type: ignore[method-assign]
 
 
