Bound the requests that a surge holds open, and share the bound in a replacement

Cause: a request that waits for an endpoint holds its client's connection up to its objective, though most of a surge are rejected then. Clients hold some 128 connections to a broker; with all of them waiting nothing new gets in, neither what could be served nor what could be told at once to come later. Two processes of a replacement held twice as many.

Off in the simulator, which sets no bound. The stub of a handover's host in a format test has the new call.

--- a/lemonridge/core/decision_host.py
+++ b/lemonridge/core/decision_host.py
@@ -100,6 +100,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._requests_received = 0
         self.list_endpoints: Callable[[], tuple[Endpoint, ...]] = tuple
+        self._open_requests_max: int | None = None  # of the broker
+        self._processes = 1  # that the broker has now
         self.observer: DecisionObserver | None = None
         self.lease_guard: LeaseGuard | None = None
         self.stall_detector = StallDetector(self._loop, counters)
@@ -143,6 +145,20 @@
         self._settings = settings
         self.deliver(SettingsChanged(settings, False))
 
+    def bound_open_requests(self, open_requests_max: int) -> None:
+        """Sets how many requests the broker may hold before its schedulers reject waiting ones."""
+        self._open_requests_max = open_requests_max
+        self._share_open_requests()
+
+    def set_processes(self, processes: int) -> None:
+        """Sets how many processes the broker has: clients hold no more connections to two than to one."""
+        self._processes = processes
+        self._share_open_requests()
+
+    def _share_open_requests(self) -> None:
+        if self._open_requests_max is not None:
+            self._scheduler.open_requests_max = self._open_requests_max // self._processes
+
     def export_limits(self) -> dict[int, LimitLevel]:
         """Hands the limits over to another process of this broker, by volume."""
         return self._scheduler.export_limits()
@@ -274,6 +290,7 @@
             self._timer = None
         self._seed += 1
         self._scheduler = Scheduler(self._settings, self._seed, host_confirms_start=True)
+        self._share_open_requests()
         if self.observer is not None:
             self.observer.on_scheduler_restarted()
         self.deliver(EndpointsChanged(EndpointListUpdate.CACHED, self.list_endpoints()))
--- a/lemonridge/net/process_handover.py
+++ b/lemonridge/net/process_handover.py
@@ -54,6 +54,10 @@
         """Does what an operator asked of the other process."""
         ...
 
+    def set_processes(self, processes: int) -> None:
+        """Notes how many processes the broker has now, this one included."""
+        ...
+
 
 class HandoverConnection:
     """The connection to the other process, while both run.
@@ -253,7 +257,8 @@
                 connection.write(message)
 
     def _on_connections_changed(self) -> None:
-        """Follows ids only while a process is there that wants them."""
+        """Notes how many processes there are; follows ids only while one is there that wants them."""
+        self._host.set_processes(1 + len(self._connections))
         wanted = any(connection.sends_ids for connection in self._connections)
         self._open_ids.on_change = self._on_id_change if wanted else None
 
--- a/lemonridge/scheduling/actions.py
+++ b/lemonridge/scheduling/actions.py
@@ -21,6 +21,7 @@
             waits.
         ATTEMPTS_EXHAUSTED: Its class, its attempts, the budgets or its time allow no retry:
             `RetryRules.another_attempt_allowed`.
+        OVERLOADED: More requests are open than the host may hold: `RequestLifecycle.shed_load`.
         DEADLINE_EXCEEDED: Its deadline came without a response: `Scheduler._on_request_deadline`.
         ROUTE_UNKNOWN: Nobody can say in time where its data is: `RequestLifecycle.migrate`.
     """
@@ -29,6 +30,7 @@
     SLOW_START = "slow_start"
     OBJECTIVE_MISSED = "objective_missed"
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
+    OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ROUTE_UNKNOWN = "route_unknown"
 
--- a/lemonridge/scheduling/request_lifecycle.py
+++ b/lemonridge/scheduling/request_lifecycle.py
@@ -83,6 +83,18 @@
         if self.key_order.add(request):
             self.queues.enqueue(request)
 
+    def shed_load(self, open_requests_max: int) -> None:
+        """Rejects waiting requests while more than so many are open.
+
+        Each open request holds its client's connection. A surge that waits for its objectives would hold them
+        all, and requests that could be served, or rejected at once, would find none.
+        """
+        while len(self.requests) > open_requests_max:
+            request = self.queues.least_urgent()
+            if request is None:
+                return
+            self.reject(request, RejectReason.OVERLOADED)
+
     # Attempts
 
     def send(self, request: Request, endpoint: TrackedEndpoint) -> None:
--- a/lemonridge/scheduling/scheduler.py
+++ b/lemonridge/scheduling/scheduler.py
@@ -58,9 +58,13 @@
         seed: Of its random numbers.
         host_confirms_start: The host calls `may_begin` before the first byte of each attempt; otherwise an
             attempt starts when it is sent.
+
+    Attributes:
+        open_requests_max: How many requests may be open before waiting ones are rejected; None: no bound.
     """
 
     def __init__(self, settings: Settings, seed: int, host_confirms_start: bool = False) -> None:
+        self.open_requests_max: int | None = None
         self.context = context = DecisionContext(settings, seed, host_confirms_start)
         self.slow_start = SlowStart(context)
         self.endpoint_list = EndpointList(context, self.slow_start)
@@ -137,6 +141,8 @@
         for shard in list(context.shards_to_dispatch):
             self.queues.dispatch(shard)
         context.shards_to_dispatch.clear()
+        if self.open_requests_max is not None:
+            self.lifecycle.shed_load(self.open_requests_max)
         self.limits.sweep()
         self._set_host_timer()
         return context.actions
--- a/lemonridge/scheduling/volume_queues.py
+++ b/lemonridge/scheduling/volume_queues.py
@@ -27,6 +27,18 @@
 _priority_weight = attrgetter("request_class.priority_weight")
 
 
+def _rejection_order(request: Request) -> tuple[bool, bool, float, int, int]:
+    """Sorts waiting requests: the first to reject last."""
+    volume = request.volume
+    return (
+        request in volume.queues[request.shard].late,
+        volume.balance < 0,
+        -request.request_class.priority_weight,
+        volume.queued_requests,
+        request.objective_at_us,
+    )
+
+
 class VolumeQueues:
     """The requests that wait for an endpoint.
 
@@ -57,6 +69,7 @@
         self._retries = retries
         self._send = send
         self._reject = reject
+        self._waiting: dict[str, Request] = {}
         self.rotation_by_shard: dict[int, deque[VolumeQueue]] = {}
         self._virtual_time_by_shard: dict[int, float] = {}  # of the second pass
 
@@ -95,6 +108,7 @@
             volume.credit(self._context.now_us, self._context.settings.largest_request_units, waits=False)
         volume.queued_requests += 1
         request.queued = True
+        self._waiting[request.id] = request
         insort(queue.on_time, request, key=_objective_at_us)
         self.resume(queue)
 
@@ -104,8 +118,18 @@
             queue = request.volume.queues[request.shard]
             (queue.late if request in queue.late else queue.on_time).remove(request)
             request.queued = False
+            del self._waiting[request.id]
             request.volume.queued_requests -= 1
 
+    def least_urgent(self) -> Request | None:
+        """The waiting request whose rejection costs least; None where none waits.
+
+        One that is late goes before one that can meet its objective, one of a volume that has used its
+        reservation up before one inside it, one of low priority weight, of a volume with many waiting
+        requests, and the one whose objective ends last.
+        """
+        return max(self._waiting.values(), key=_rejection_order, default=None)
+
     # The rotation
 
     def resume(self, queue: VolumeQueue) -> None:
--- a/lemonridge/service/admin.py
+++ b/lemonridge/service/admin.py
@@ -159,6 +159,10 @@
         self._front.changed()
         self._listen_task = asyncio.create_task(self._listen_again())
 
+    def set_processes(self, processes: int) -> None:
+        """The processes share what clients may hold of the broker."""
+        self._decision_host.set_processes(processes)
+
     async def _listen_again(self) -> None:
         await self._front.listen()
         if self._handover is not None:
--- a/tests/core/core_case.py
+++ b/tests/core/core_case.py
@@ -25,6 +25,7 @@
         self.batches: list[list[Event]] = []
         self.react: Callable[[Event], list[Action]] = lambda event: []
         self.allows = True
+        self.open_requests_max: int | None = None
 
     def handle(self, _: int, events: list[Event]) -> list[Action]:
         self.batches.append(events)
--- a/tests/core/test_decision_host.py
+++ b/tests/core/test_decision_host.py
@@ -77,6 +77,17 @@
 
         self.assertEqual(order[:2], ["observer", "RequestArrived"])
 
+    async def test_the_processes_of_a_broker_share_the_bound_on_open_requests(self) -> None:
+        """Guards against two processes that together hold all connections of the clients."""
+        self.host.bound_open_requests(96)
+        self.assertEqual(self.scheduler.open_requests_max, 96)
+
+        self.host.set_processes(2)
+        self.assertEqual(self.scheduler.open_requests_max, 48)
+
+        self.host.set_processes(1)
+        self.assertEqual(self.scheduler.open_requests_max, 96)
+
     async def test_an_exception_in_the_scheduler_answers_all_requests_and_restarts_it(self) -> None:
         def fail(_: Event) -> list[Action]:
             raise KeyError("a fault in the scheduler")
--- a/tests/formats/test_format_handover.py
+++ b/tests/formats/test_format_handover.py
@@ -143,6 +143,9 @@
     def undo_handover(self) -> None:
         pass
 
+    def set_processes(self, processes: int) -> None:
+        pass
+
     def apply(self, request: AdminRequest) -> AdminReply:
         self.obeyed.append(request)
         return AdminReply(True)
