Keep the order of iSCSI commands at the same blocks, and of ORDERED commands

Callers saw: an initiator that sends four writes to one block and a read of it without waiting reads what was there before; an ORDERED command runs beside earlier and later ones.

Cause: each command was a request of its own, with no look at what it touches, and the PDU's task attribute was not read. The control mode page reports restricted reordering (SPC-4, QUEUE ALGORITHM MODIFIER 0), by which the order of SIMPLE commands of a nexus is kept where the data show it; ORDERED and HEAD OF QUEUE are SAM-4, 8.6.

Change: iscsi/task_order.py (pure) says which commands of a session and LUN wait for earlier ones; Runner lets each go on once none holds it back, and answers BUSY at its deadline, as it never ran.

--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -15,6 +15,7 @@
 from lemonridge.iscsi.mapped import class_of, reply_of, request_of
 from lemonridge.iscsi.pdu import FINAL, NONE, Op, Pdu, PduError, unpack_lun
 from lemonridge.iscsi.task import Task
+from lemonridge.iscsi.task_order import TaskOrder
 from lemonridge.iscsi.transfer import Ask, Inbound, Outbound, Part, TransferError
 from lemonridge.net.sockets import peer_has_closed
 
@@ -22,6 +23,7 @@
     from lemonridge.iscsi.connection import Connection
     from lemonridge.iscsi.session import Session
 
+ATTRIBUTE = 0x07  # of a SCSI Command's flags: its task attribute (11.3.1)
 STALL_S = 0.2  # without data that were asked for, at a level that may ask again
 DATA_SNACK, STATUS_SNACK, DATA_ACK, RDATA_SNACK = range(4)  # 11.16.1
 
@@ -32,6 +34,8 @@
     def __init__(self, session: Session) -> None:
         self._session, self._front = session, session.front
         self._transfers = 0
+        self._orders: dict[int, TaskOrder] = {}  # by LUN
+        self._turns: dict[Task, asyncio.Event] = {}  # of the commands that wait for earlier ones
 
     # A command comes
 
@@ -71,7 +75,31 @@
         if writes:
             task.inbound = Inbound(length, pdu.data, agreed, more, self._transfers)
             task.moved_s = front.loop.time()
+        order = self._orders.setdefault(command.lun, TaskOrder())
+        order.add(task, pdu.flags & ATTRIBUTE, command.cdb)
         task.runner = asyncio.create_task(self._life(task))
+        task.runner.add_done_callback(lambda _: self._leave(task, order))
+
+    def _leave(self, task: Task, order: TaskOrder) -> None:
+        """A command has ended: those that waited for it alone go on."""
+        order.remove(task)
+        for waiting, turn in self._turns.items():
+            if waiting.command.lun == task.command.lun and order.may_run(waiting):
+                turn.set()
+
+    async def _wait_for_turn(self, task: Task, deadline_us: int) -> bool:
+        """Wait for the earlier commands that this one must not pass; False where they take too long."""
+        if self._orders[task.command.lun].may_run(task):
+            return True
+        turn = self._turns[task] = asyncio.Event()
+        try:
+            async with asyncio.timeout_at(self._front.clock.loop_time(deadline_us)):
+                await turn.wait()
+        except TimeoutError:
+            return False
+        finally:
+            del self._turns[task]
+        return True
 
     async def _life(self, task: Task) -> None:
         """One command: gather its data, have it carried, respond."""
@@ -85,6 +113,9 @@
                     return
                 command.data = bytes(task.inbound.data)
                 task.inbound = None
+            if not await self._wait_for_turn(task, deadline_us):
+                self.respond(task, scsi.Reply(scsi.Status.BUSY))
+                return
             if command.cdb[0] in WITH_DATA:
                 self.respond(task, front.device.finish(self._session.nexus, command))
             elif lun.mapped and front.mapped is not None:
@@ -96,6 +127,7 @@
                     front.config, command, lun, lun.shard, deadline_us, partial(self._abandoned, task)
                 )
                 self.respond(task, reply_of(await front.broker.serve(request)))
+            self._leave(task, self._orders[command.lun])
             if task.connection is not None:
                 await task.connection.writer.drain()
         except ConnectionError:
--- a/lemonridge/lab/load/initiator.py
+++ b/lemonridge/lab/load/initiator.py
@@ -98,12 +98,12 @@
                 )
             )
 
-    def command(self, cdb: bytes, read: int = 0, data: bytes = b"", lun: int = 0) -> int:
+    def command(self, cdb: bytes, read: int = 0, data: bytes = b"", lun: int = 0, attribute: int = 0) -> int:
         """Send a command; the first half of a write's data goes along, up to 4096 bytes."""
         self.tags += 1
         along = data[: min(4096, len(data) // 2)]
         words = list(struct.unpack(">4I", cdb.ljust(16, b"\0")))
-        flags = FINAL | (0x40 if read else 0) | (0x20 if data else 0)
+        flags = FINAL | (0x40 if read else 0) | (0x20 if data else 0) | attribute
         self.waiting[self.tags] = (asyncio.get_running_loop().create_future(), bytearray(), data)
         self.send(
             Pdu(
