review: scripts end their processes however they are ended themselves

Cause: a broker that was not ready in time, or a script that got SIGTERM, left a process behind; the descriptor 5 of case 3 could be one of the event loop's.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -156,6 +156,9 @@
         return int(probe.getsockname()[1])
 
 
+_processes: list[asyncio.subprocess.Process] = []  # all that the script has started
+
+
 class CannotRunError(Exception):
     """The case could not be played, so it says nothing about the rule."""
 
@@ -429,6 +432,7 @@
                     **self.environment,
                 },
             )
+        _processes.append(self.process)
         for _ in range(300):
             if self.process.returncode is not None:
                 break
@@ -508,11 +512,16 @@
     record = Record(folder)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     status = NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         status = asyncio.run(asyncio.wait_for(play(record, temporary), 115))
     except (CannotRunError, TimeoutError, OSError) as error:
         record.add(f"the case could not run: {type(error).__name__}: {error}")
     finally:
+        for process in _processes:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGKILL)
         shutil.rmtree(temporary, ignore_errors=True)
     record.add({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "not run"}[status])
     sys.exit(status)
