Free a request and its body with its end, without the collector of cycles

Cause: Broker.submit stores two closures in the request's mailbox that refer to the mailbox. The mailbox holds the request and so its body. The cycle outlived the end of the request; Python's collector of cycles is triggered by the number of new objects, not by their size, so it came after several bodies.

Fix: Broker._close drops the mailbox's callbacks. That is the one place that every request passes at its end, whatever its front.

--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -142,6 +142,7 @@
         if self._routes is not None and mailbox.request.route is not None:
             self._routes.close(mailbox.request)
         self._decision_host.close(mailbox)
+        mailbox.close()
         self.open_ids.close(mailbox.request.request_id)
         self._runners.pop(mailbox.name, None)
 
--- a/lemonridge/core/request_mailbox.py
+++ b/lemonridge/core/request_mailbox.py
@@ -10,6 +10,14 @@
 from lemonridge.scheduling.actions import Cancel, Fail, Reject, Send
 
 
+def _ignore_send() -> None:
+    """Does nothing when an attempt is decided on."""
+
+
+def _ignore_answer(_: Answer) -> None:
+    """Does nothing with the final answer."""
+
+
 class RequestMailbox:
     """Holds the pending decisions for one request, its attempt in flight and its final answer.
 
@@ -31,8 +39,8 @@
     def __init__(self, name: str, request: Request) -> None:
         self.name, self.request = name, request
         self.answer: Answer | None = None
-        self.on_send: Callable[[], None] = lambda: None
-        self.on_answer: Callable[[Answer], None] = lambda answer: None
+        self.on_send: Callable[[], None] = _ignore_send
+        self.on_answer: Callable[[Answer], None] = _ignore_answer
         self.attempt: Attempt | None = None
         self.timeout_scope: asyncio.Timeout | None = None
         self.attempt_cancelled = False
@@ -55,6 +63,15 @@
         self.on_answer(answer)
         return True
 
+    def close(self) -> None:
+        """Drops the callbacks, which refer to this mailbox.
+
+        Otherwise the request, with its body, would stay in memory until the next collection of reference
+        cycles, which is triggered by a number of objects and not by their size.
+        """
+        self.on_send = _ignore_send
+        self.on_answer = _ignore_answer
+
     def deliver(self, action: Send | Cancel | Reject | Fail) -> None:
         """Accepts a decision; a final answer is delivered at once, even while an attempt is in flight."""
         match action:
