Free a body after a failed attempt, without the collector of cycles

A body stayed in memory after an attempt at a node that refused the connection or cut its answer short, after a suppressed attempt, and after a lost session of the iSCSI front.

Cause: aiohttp keeps an error in a variable of a frame or in a stream, and a session keeps it in the future of its command. The error's traceback refers to these frames and to ours, which hold the body: a cycle.

Fix: where an attempt turns an error into its outcome, the tracebacks of the error and of its causes are detached (core/tracebacks.py).

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -14,6 +14,7 @@
 from lemonridge.core.endpoint_registry import EndpointRegistry
 from lemonridge.core.errors import AttemptSuppressedError, ConnectFailedError, LocalFailureError
 from lemonridge.core.model import Attempt, Outcome
+from lemonridge.core.tracebacks import release_frames
 from lemonridge.extents.routing import Route
 from lemonridge.iscsi import chap, scsi, versions
 from lemonridge.iscsi.config import IscsiConfig
@@ -139,7 +140,8 @@
         attempt.begin()  # the command may run from here on: there is no await between this and the write
         try:
             reply = await session.execute(command, ahs)
-        except (SessionLostError, ConnectionError):
+        except (SessionLostError, ConnectionError) as error:
+            release_frames(error)
             return Outcome(AttemptResult.RESET)
         if reply.status in NOT_EXECUTED_STATUSES:
             return Outcome(AttemptResult.QUEUE_FULL)
--- a/lemonridge/net/http_endpoints.py
+++ b/lemonridge/net/http_endpoints.py
@@ -17,6 +17,7 @@
 from lemonridge.core.endpoint_registry import EndpointRegistry
 from lemonridge.core.errors import AttemptSuppressedError, ConnectFailedError, LocalFailureError
 from lemonridge.core.model import Attempt, Outcome
+from lemonridge.core.tracebacks import release_frames
 from lemonridge.net.endpoint_connector import EndpointConnector, request_connection
 from lemonridge.net.http_client import Payload, plain_session
 from lemonridge.net.http_response import StreamedResponse, read_body
@@ -118,10 +119,12 @@
             )
             return await self._read_response(response)
         except aiohttp.ClientConnectorError as error:
+            release_frames(error)
             raise (
                 LocalFailureError if error.os_error.errno in LOCAL_ERRORS else ConnectFailedError
             ) from None
         except (aiohttp.ClientError, OSError) as error:
+            release_frames(error)
             # aiohttp wraps an error that is raised before a body is sent, and keeps it as the cause.
             if isinstance(error.__cause__, AttemptSuppressedError):
                 raise AttemptSuppressedError from None
