Count the data of a request against its limit until nothing needs it any more

The bodies of clients that left while their attempt was in flight were no longer counted, though the attempt still held them: any number of them could follow. The same held for a body answered early because the process stops, and for the iSCSI front's data after an abort, a lost session, or with a reply not yet taken.

Cause: the fronts tied the account to the connection and to the task, but the data is needed until the broker has closed the request.

Fix: core/memory_budget.py, one account for both fronts. A reservation has holders: the connection or task, and the core from `submit` until the request has its answer and no attempt in flight. The iSCSI front holds it further until the reply's data has gone to the initiator. `ConnectionTable.buffered_bytes`, which nothing read, is gone.

Measured: the two new tests of departed clients (platform: a body beyond the limit was accepted; iSCSI: GOOD where TASK SET FULL was due) failed before and pass now.

--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -74,6 +74,8 @@
         """
         self.open_ids.open(request.request_id)
         mailbox = self._decision_host.open(request)
+        if request.reservation is not None:
+            request.reservation.hold()
         self._counters["requests.taken"] += 1
         mailbox.on_send = lambda: self._start(mailbox)
         mailbox.on_answer = lambda answer: self._on_answer(mailbox, answer, on_answer)
@@ -145,6 +147,8 @@
         mailbox.close()
         self.open_ids.close(mailbox.request.request_id)
         self._runners.pop(mailbox.name, None)
+        if mailbox.request.reservation is not None:
+            mailbox.request.reservation.release()
 
     async def run(self, mailbox: RequestMailbox) -> None:
         """Runs one request: makes each attempt that the scheduler decides on and reports its outcome."""
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -8,6 +8,7 @@
 from typing import Protocol, runtime_checkable
 
 from lemonridge.core.errors import AttemptSuppressedError
+from lemonridge.core.memory_budget import Reservation
 from lemonridge.scheduling.events import AttemptResult
 
 
@@ -44,6 +45,8 @@
         route: The location of the data; None if data cannot migrate.
         repeat: Whether the client marked the request as a retry.
         has_client_disconnected: Asks the operating system whether the client has disconnected.
+        reservation: The memory reserved for the data; held by the broker while the request is open, that is
+            until it has its final answer and no attempt in flight. None if there is none.
         forwarded: Whether an attempt has begun, so that the request may have run.
     """
 
@@ -60,6 +63,7 @@
     route: Route | None = None
     repeat: bool = False
     has_client_disconnected: Callable[[], bool] = lambda: False
+    reservation: Reservation | None = None
     forwarded: bool = False
 
 
--- a/lemonridge/iscsi/mapped.py
+++ b/lemonridge/iscsi/mapped.py
@@ -10,6 +10,7 @@
 
 from lemonridge.core.broker import Broker
 from lemonridge.core.counters import Counters
+from lemonridge.core.memory_budget import Reservation
 from lemonridge.core.model import Answer, AnswerKind, Request
 from lemonridge.extents.carrier import PieceExecutor
 from lemonridge.extents.errors import RouteError, RouteRejectReason
@@ -48,6 +49,7 @@
     shard: int,
     deadline_us: int,
     has_initiator_disconnected: Callable[[], bool],
+    reservation: Reservation | None,
 ) -> Request:
     """Returns the core's request for a command or for one piece of a command.
 
@@ -58,6 +60,7 @@
         shard: The shard that serves it.
         deadline_us: When the initiator gives up, in microseconds of the broker's clock.
         has_initiator_disconnected: Returns whether the initiator has disconnected.
+        reservation: The memory reserved for the command's data, if any.
     """
     return Request(
         shard=shard,
@@ -70,6 +73,7 @@
         hosts=config.settings.hosts,
         payload=command,
         has_client_disconnected=has_initiator_disconnected,
+        reservation=reservation,
     )
 
 
@@ -146,6 +150,7 @@
         lun: Lun,
         deadline_us: int,
         has_initiator_disconnected: Callable[[], bool],
+        reservation: Reservation | None,
     ) -> scsi.Reply:
         """Serves a command.
 
@@ -156,13 +161,16 @@
             lun: The LUN that it is addressed to.
             deadline_us: When the initiator gives up, in microseconds of the broker's clock.
             has_initiator_disconnected: Returns whether the initiator has disconnected.
+            reservation: The memory reserved for the command's data, if any.
 
         Returns:
             The reply for the initiator.
         """
         try:
             if command.cdb[0] in scsi.READ_WRITE_CDB_BYTES:
-                return await self._serve_blocks(command, lun, deadline_us, has_initiator_disconnected)
+                return await self._serve_blocks(
+                    command, lun, deadline_us, has_initiator_disconnected, reservation
+                )
             writes = command.cdb[0] in scsi.WRITES
             shards = self._router.shards_of_volume(command.lun, writes)
         except RouteError as error:
@@ -176,7 +184,9 @@
         # extent is not needed for it, since a handover makes the extent's blocks durable. All other commands
         # without blocks get the same reply from every node.
         requests = [
-            make_request(self._config, command, lun, shard, deadline_us, has_initiator_disconnected)
+            make_request(
+                self._config, command, lun, shard, deadline_us, has_initiator_disconnected, reservation
+            )
             for shard in shards
         ]
         return await self._serve_joined(requests if writes else requests[:1], command, writes)
@@ -187,6 +197,7 @@
         lun: Lun,
         deadline_us: int,
         has_initiator_disconnected: Callable[[], bool],
+        reservation: Reservation | None,
     ) -> scsi.Reply:
         """Serves a READ or WRITE, with one request for each extent that it touches.
 
@@ -209,7 +220,13 @@
                 data,
             )
             request = make_request(
-                self._config, piece_command, lun, route.shard, deadline_us, has_initiator_disconnected
+                self._config,
+                piece_command,
+                lun,
+                route.shard,
+                deadline_us,
+                has_initiator_disconnected,
+                reservation,
             )
             request.route = route
             requests.append(request)
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -11,6 +11,7 @@
 from lemonridge.core.clock import Clock
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointRegistry
+from lemonridge.core.memory_budget import MemoryBudget
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.config import IscsiConfig
 from lemonridge.iscsi.connection import Connection
@@ -53,7 +54,8 @@
         connections: All connections, also those whose login is in progress.
         sessions: The sessions, by TSIH.
         login_exp_cmd_sns: ExpCmdSN of the logins in progress.
-        buffered_bytes: Transfer lengths of the open commands of all sessions; `buffer_bytes` bounds it.
+        buffer_budget: Bounds the data of the commands of all sessions, by their transfer lengths, from their
+            receipt until nothing needs the data any more.
         stopping: Whether the front no longer accepts logins.
         login_attempts: Bounds the failed logins of each IP address.
         login_rules: What logins are checked against.
@@ -76,7 +78,7 @@
         self.connections: set[Connection] = set()
         self.sessions: dict[int, Session] = {}
         self.login_exp_cmd_sns: dict[Connection, int] = {}
-        self.buffered_bytes = 0
+        self.buffer_budget = MemoryBudget(config.buffer_bytes)
         self.stopping = False
         self.login_attempts = FailedLoginLimiter(config.login_failures)
         self.login_rules = LoginPolicy(
--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -11,6 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from lemonridge.core.memory_budget import Reservation
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS
 from lemonridge.iscsi.keys import NegotiatedParameters
@@ -59,7 +60,7 @@
             PduError: The task tag is in use, or the command comes with immediate or unsolicited data that was
                 not negotiated.
         """
-        session, front, config = self._session, self._front, self._front.config
+        session, front = self._session, self._front
         agreed = session.agreed
         previous = session.tasks.get(pdu.tag)
         if pdu.tag == RESERVED_TAG or (
@@ -81,7 +82,7 @@
         reply = front.answer_locally(session, command)
         if reply is None and session.ends_when_idle:
             reply = scsi.Reply(scsi.Status.BUSY)
-        if reply is None and front.buffered_bytes + length > config.buffer_bytes:
+        if reply is None and not front.buffer_budget.fits(length):
             front.counters["commands.no_room"] += 1
             reply = scsi.Reply(scsi.Status.TASK_SET_FULL)
         session.tasks[pdu.tag] = task
@@ -90,15 +91,21 @@
                 task.inbound = Inbound(0, b"", agreed, False, 0)
             self.respond(task, reply)
             return
-        task.buffered_bytes = length
-        front.buffered_bytes += length
+        task.reservation = Reservation(front.buffer_budget, length)
         if writes:
             task.inbound = Inbound(length, pdu.data, agreed, more_data_follows, self._last_transfer_tag)
             task.last_data_s = front.loop.time()
         order = self._task_orders.setdefault(command.lun, TaskOrder())
         order.add(task, pdu.flags & TASK_ATTRIBUTE_MASK, command.cdb)
+        task.reservation.hold()  # until `_run` ends: the initiator has taken nearly all of the reply's data
         task.execution = asyncio.create_task(self._run(task))
-        task.execution.add_done_callback(lambda _: self._remove_from_order(task, order))
+        task.execution.add_done_callback(partial(self._execution_ended, task, order))
+
+    def _execution_ended(self, task: Task, order: TaskOrder, _: asyncio.Task[None]) -> None:
+        """Lets later commands run, and releases the hold of `_run` on the reservation."""
+        self._remove_from_order(task, order)
+        assert task.reservation is not None
+        task.reservation.release()
 
     def _remove_from_order(self, task: Task, order: TaskOrder) -> None:
         """Removes a finished command from the order and wakes the commands that were waiting only for it."""
@@ -151,7 +158,11 @@
                 self.respond(
                     task,
                     await front.mapped_luns.serve(
-                        command, lun, deadline_us, partial(self._has_initiator_disconnected, task)
+                        command,
+                        lun,
+                        deadline_us,
+                        partial(self._has_initiator_disconnected, task),
+                        task.reservation,
                     ),
                 )
             else:
@@ -162,6 +173,7 @@
                     lun.shard,
                     deadline_us,
                     partial(self._has_initiator_disconnected, task),
+                    task.reservation,
                 )
                 self.respond(task, reply_from_answer(await front.broker.serve(request)))
             self._remove_from_order(task, self._task_orders[command.lun])
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -533,13 +533,13 @@
         self.remove_task(task)
 
     def remove_task(self, task: Task) -> None:
-        """Removes a task, which frees its task tag and its share of the front's buffer limit.
+        """Removes a task, which frees its task tag; its status will not be sent again.
 
         Args:
-            task: The task; a task that has been removed already is left as it is.
+            task: The task; nothing changes if it has been removed already.
         """
         if self.tasks.get(task.tag) is task:
             del self.tasks[task.tag]
-        self.front.buffered_bytes -= task.buffered_bytes
-        task.buffered_bytes = 0
+            if task.reservation is not None:
+                task.reservation.release()
         self._end_if_idle()
--- a/lemonridge/iscsi/task.py
+++ b/lemonridge/iscsi/task.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from lemonridge.core.memory_budget import Reservation
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.pdu import Pdu
 from lemonridge.iscsi.transfer import Inbound, Outbound
@@ -31,7 +32,7 @@
         execution: asyncio task that executes the command; None for a command that is answered at once.
         progress: Set when data of the command was received.
         aborted: Whether the command was aborted; it gets no response.
-        buffered_bytes: Bytes that the command occupies of the front's buffer limit.
+        reservation: The command's part of the front's buffer limit; None if it is answered at once.
         outstanding_r2ts: Number of unanswered R2Ts.
         last_data_s: Event loop time in seconds at which data was last received, or a stall was detected.
     """
@@ -47,7 +48,7 @@
     execution: asyncio.Task[None] | None = None
     progress: asyncio.Event = field(default_factory=asyncio.Event)
     aborted: bool = False
-    buffered_bytes: int = 0
+    reservation: Reservation | None = None
     outstanding_r2ts: int = 0
     last_data_s: float = 0.0
 
--- a/lemonridge/net/connection_table.py
+++ b/lemonridge/net/connection_table.py
@@ -9,6 +9,7 @@
 
 from lemonridge.core.clock import Clock
 from lemonridge.core.counters import Counters
+from lemonridge.core.memory_budget import MemoryBudget
 from lemonridge.operate.lifecycle import Lifecycle
 
 IDLE_MAX_S = 2.0  # idle timeout of a connection without an open request
@@ -98,9 +99,8 @@
         clock: The broker's clock.
         counters: The process's counters.
         lifecycle: The drain, handover and stop of this process.
-        body_bytes_max: The limit for `announced_bytes`, applied to long bodies.
-        buffered_bytes: Bytes buffered of incomplete requests.
-        announced_bytes: Bytes of bodies whose request has begun, by their announced lengths.
+        body_budget: Bounds the long bodies, by their announced lengths, from their heads until nothing needs
+            them any more.
     """
 
     def __init__(self, clock: Clock, counters: Counters, lifecycle: Lifecycle) -> None:
@@ -108,9 +108,8 @@
         self._loop = asyncio.get_running_loop()
         # For each state, its connections and the time at which each entered the state.
         self._states: tuple[dict[TableEntry, float], ...] = tuple({} for _ in ConnectionState)
-        self._sockets_max = self.body_bytes_max = 0  # set by `configure`
-        self.buffered_bytes = 0
-        self.announced_bytes = 0
+        self._sockets_max = 0  # set by `configure`
+        self.body_budget = MemoryBudget()
         self._timer = self._loop.call_at(self._loop.time() + SWEEP_INTERVAL_S, self._sweep)
 
     def configure(self, sockets: int, body_bytes_max: int) -> None:
@@ -118,9 +117,9 @@
 
         Args:
             sockets: The maximum number of sockets of the process.
-            body_bytes_max: The maximum number of bytes of bodies that are being received.
+            body_bytes_max: The maximum number of bytes of long bodies in the process.
         """
-        self._sockets_max, self.body_bytes_max = sockets, body_bytes_max
+        self._sockets_max, self.body_budget.max_bytes = sockets, body_bytes_max
 
     def __len__(self) -> int:
         """Returns the number of connections in any state."""
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from lemonridge.core.memory_budget import Reservation
 from lemonridge.net import http_headers
 from lemonridge.net.connection_table import ConnectionState, ConnectionTable
 from lemonridge.net.errors import MessageRejectedError
@@ -42,6 +43,7 @@
     Attributes:
         head: The head of the open request.
         body: The body of the open request.
+        body_reservation: The memory reserved for the body of the request being received, or open.
         arrived_us: When the last byte of the open request arrived, in microseconds of the broker's clock.
         receive_by_s: See `TableEntry`.
         state: See `TableEntry`.
@@ -63,7 +65,7 @@
         self._head: http_headers.RequestHead | None = None  # of the request being received, once parsed
         self._chunks: ChunkedBodyDecoder | None = None  # set if the body being received is chunked
         self._body = bytearray()
-        self._announced_bytes = 0  # this request's share of the table's `announced_bytes`
+        self.body_reservation = Reservation(table.body_budget)
         self.head: http_headers.RequestHead
         self.body = b""
         self.receive_by_s = 0.0
@@ -91,8 +93,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Removes the ended connection from the table and releases its buffers."""
         self._drops_input = True
-        self._table.buffered_bytes -= len(self._data) + len(self._body)
-        self._table.announced_bytes -= self._announced_bytes
+        self.body_reservation.release()
         self._table.set_state(self, None)
         self._on_disconnect(self)
 
@@ -119,7 +120,6 @@
         self._arrivals.append((self._received_bytes, self._paused_since_us or self._table.clock.now_us()))
         self._paused_since_us = 0
         self._data += data
-        self._table.buffered_bytes += len(data)
         if self.state is not ConnectionState.SERVING:
             self._next_request()
         elif len(self._data) > READ_AHEAD_BYTES and not self._reading_is_paused:
@@ -166,20 +166,24 @@
 
     def _response_ended(self, keeps_alive: bool) -> None:
         """Continues with the next request, or closes the connection."""
+        self._release_body()
         if self._drops_input or not keeps_alive:
             self.close()
             return
         if self._reading_is_paused:
             self._reading_is_paused = False
             self._transport.resume_reading()
-        self._table.announced_bytes -= self._announced_bytes
-        self.body, self._announced_bytes = b"", 0
         if self._data:
             self._begin_request()
             asyncio.get_running_loop().call_soon(self._next_request)
         else:
             self._table.set_state(self, ConnectionState.IDLE)
 
+    def _release_body(self) -> None:
+        """Drops the body of the open request; the broker may hold its reservation for longer."""
+        self.body_reservation.release()
+        self.body, self.body_reservation = b"", Reservation(self._table.body_budget)
+
     def _begin_request(self) -> None:
         """Starts to receive the next request."""
         self.receive_by_s = asyncio.get_running_loop().time() + HEAD_MAX_S
@@ -202,7 +206,6 @@
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
         self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
         self._drops_input = self._is_closing = True
-        self._table.buffered_bytes -= len(self._data) + len(self._body)
         self._data, self._body = bytearray(), bytearray()
         self.closing_since_s = asyncio.get_running_loop().time()
         # After 503 input is still read, so that a client that first sends its whole body gets the response.
@@ -260,7 +263,6 @@
             return
         assert self._head is not None
         self.head, self.body, self.arrived_us = self._head, bytes(self._body), self._arrival_us()
-        self._table.buffered_bytes -= len(self._body)
         self._body, self._head, self._chunks, self._searched_bytes = bytearray(), None, None, 0
         self._table.set_state(self, ConnectionState.SERVING)
         self._on_request(self)
@@ -275,7 +277,7 @@
     def _read_head(self) -> bool:
         """Parses the head of the next request; returns False if it is not complete yet."""
         while self._data.startswith(b"\r\n") and len(self._data) > 2:  # RFC 9112, 2.2: skip empty lines
-            self._discard_input(2)
+            del self._data[:2]
         end = self._data.find(http_headers.HEAD_END, max(0, self._searched_bytes - 3))
         if end < 0 or end > HEAD_MAX_BYTES:
             self._searched_bytes = len(self._data)
@@ -287,7 +289,7 @@
         if length > BODY_MAX_BYTES:
             raise MessageRejectedError(413, "a body holds 32 MiB at most")
         self._reserve_body_bytes(length)
-        self._discard_input(end + 4)
+        del self._data[: end + 4]
         self._head, self._chunks = head, ChunkedBodyDecoder() if head.body_length is None else None
         body_max_s = BODY_MARGIN_S + length / BODY_MIN_BYTES_PER_S
         self.receive_by_s = max(self.receive_by_s, asyncio.get_running_loop().time() + body_max_s)
@@ -300,7 +302,6 @@
     def _read_body(self) -> bool:
         """Consumes the received bytes of the body; returns whether the body is complete."""
         assert self._head is not None
-        buffered_before = len(self._data) + len(self._body)
         if self._chunks is not None:
             decoded_before = len(self._body)
             self._chunks.feed(self._data, self._body)
@@ -313,7 +314,6 @@
                 self._body += self._data[:missing_bytes]
                 del self._data[:missing_bytes]
             is_complete = len(self._body) == self._head.body_length
-        self._table.buffered_bytes += len(self._data) + len(self._body) - buffered_before
         if not is_complete and len(self._body) > BODY_MAX_BYTES:
             raise MessageRejectedError(413, "a body holds 32 MiB at most")
         return is_complete
@@ -324,14 +324,8 @@
         Short bodies are not subject to the limit: there is memory for one on each possible connection beside
         the long ones.
         """
-        is_long = self._announced_bytes + count > SHORT_BODY_BYTES
-        if is_long and self._table.announced_bytes + count > self._table.body_bytes_max:
+        is_long = self.body_reservation.reserved_bytes + count > SHORT_BODY_BYTES
+        if is_long and not self._table.body_budget.fits(count):
             self._table.counters["requests.buffers_full"] += 1
             raise MessageRejectedError(503, "too much is on its way")
-        self._announced_bytes += count
-        self._table.announced_bytes += count
-
-    def _discard_input(self, count: int) -> None:
-        """Removes bytes from the start of the unparsed input."""
-        del self._data[:count]
-        self._table.buffered_bytes -= count
+        self.body_reservation.extend(count)
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -196,6 +196,7 @@
         """
         arrived_us = connection.arrived_us
         request = self._parser.parse(connection.head, connection.body, arrived_us, connection.client_has_left)
+        request.reservation = connection.body_reservation
         if self._lifecycle.accept_until_us != NEVER_US:
             self._counters["requests.stopping"] += 1
         mailbox = self._broker.submit(request, functools.partial(self._on_answer, connection))
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -367,6 +367,11 @@
             while (await self.counters()).get(name, 0) < count:
                 pass
 
+    def anonymous_memory_bytes(self) -> int:
+        """Returns the resident memory of the process without its files and libraries."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("RssAnon:")[2].split()[0]) * 1024
+
     async def stop(self, signal_number: signal.Signals = signal.SIGTERM) -> int:
         """Sends a signal if the program still runs, waits for its exit and returns the exit status."""
         if self.process.returncode is None:
--- a/tests/integration/test_iscsi.py
+++ b/tests/integration/test_iscsi.py
@@ -7,10 +7,11 @@
 import struct
 from random import Random
 
-from harness import Initiator, IscsiCase, Target, cdb
+from harness import TIMEOUT_S, Initiator, IscsiCase, Target, cdb
 
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu, pack_text, unpack_text
 
+TASK_SET_FULL = 0x28
 DATA = bytes(range(256)) * 160  # 40 KiB: immediate data, several bursts and several PDUs
 
 
@@ -275,6 +276,30 @@
         self.assertEqual((await self.program.counters())["connections.opened"], 2)
 
 
+class BufferLimit(IscsiCase):
+    config_replacements = {
+        "buffer_mib = 48": "buffer_mib = 1",
+        "max_transfer_kib = 256": "max_transfer_kib = 1024",
+    }
+
+    # Guards against buffers over their limit: data of departed initiators was not counted while being sent.
+    async def test_data_of_a_departed_initiator_counts_until_its_attempt_ends(self) -> None:
+        self.target.delay_s = 1.0
+        leaving = await self.open_session()
+        leaving.command(cdb(0x28, 0, 1 << 20), read=1 << 20)
+        async with asyncio.timeout(TIMEOUT_S):
+            while not self.target.started_commands:
+                await asyncio.sleep(0)
+        leaving.writer.close()
+        await self.program.wait_for_counter("answers.client_gone")
+        session = await self.open_session()
+        self.assertEqual((await session.read(0, 512))[0], TASK_SET_FULL)
+        async with asyncio.timeout(TIMEOUT_S):
+            while (status := (await session.read(0, 512))[0]) == TASK_SET_FULL:
+                pass
+        self.assertEqual(status, 0)
+
+
 class DrainingTarget(IscsiCase):
     async def test_no_new_command_is_sent_to_a_draining_target(self) -> None:
         session = await self.open_session()
--- a/tests/integration/test_platform_bodies.py
+++ b/tests/integration/test_platform_bodies.py
@@ -11,6 +11,7 @@
 from lemonridge.net.http_chunks import ChunkedBodyDecoder
 
 LONG_BODY = os.urandom(1 << 20) * 8  # 8 MiB
+MEMORY_MAX_BYTES = 192 << 20  # DEPLOY: the limits reach at most 192 MB
 
 
 class LongBodies(PlatformCase):
@@ -151,3 +152,33 @@
                 pass
         self.assertEqual(rejections, 1)
         self.assertEqual((await self.client.request()).status, 200)
+
+    # Guards against bodies over the limit: those of departed clients were not counted while still being sent.
+    async def test_body_of_a_departed_client_counts_until_its_attempt_ends(self) -> None:
+        may_answer = asyncio.Event()
+
+        async def answer_when_allowed(_: Server, __: Message, writer: asyncio.StreamWriter) -> None:
+            await may_answer.wait()
+            reply(writer)
+
+        self.node.script = answer_when_allowed
+        body = LONG_BODY * 2  # 16 MiB; the limit is an eighth of 192 MB
+        leaving = await self.connect()
+        leaving.writer.write(leaving.encode_request("new-write", body=body))
+        await self.node.wait_until(lambda: len(self.node.requests) == 1)
+        leaving.writer.transport.abort()
+        await self.program.wait_for_counter("answers.client_gone")
+        rejected = await self.connect()
+        answer = await rejected.exchange(rejected.encode_request("new-write", Content_Length=str(len(body))))
+        self.assertEqual(answer.status, 503)
+        may_answer.set()
+        await self.program.wait_for_counter("attempts.ok")
+        self.assertEqual((await self.client.request("new-write", body=body)).status, 200)
+
+    # Guards against a broker killed for its memory: answered bodies waited for the collector of cycles.
+    async def test_bodies_one_after_another_stay_within_the_memory(self) -> None:
+        body = LONG_BODY * 2
+        for _ in range(16):
+            self.assertEqual((await self.client.request("new-write", body=body)).status, 200)
+            self.node.requests.clear()
+            self.assertLess(self.program.anonymous_memory_bytes(), MEMORY_MAX_BYTES)
