Measure whether a client reads by its progress, not by room in the system's buffer

The system keeps some MB of output, and reports room only once a third has been sent.

The test that ages a closing connection now ages the progress instead of `closing_since_s`, which is gone; what it asserts is the same.

--- a/lemonridge/net/connection_table.py
+++ b/lemonridge/net/connection_table.py
@@ -19,7 +19,6 @@
 CLIENTS_MAX_FRACTION = 0.5  # share above which new connections are closed; the rest is for endpoints
 CLOSE_GRACE_S = 0.5  # from the end of the output to the close, for the client to read and close its side
 FIRST_BYTES_GRACE_S = 0.1  # for the first request of a connection opened just before the stop
-UNREAD_RESPONSE_MAX_S = 5.0  # how long a client may leave its response unread
 SWEEP_INTERVAL_S = 0.25
 EVICTION_CANDIDATES_MAX = 8  # connections examined per state, to bound the cost with many connections
 
@@ -51,22 +50,22 @@
     Attributes:
         state: The state, set by the table; None once the connection has ended.
         receive_by_s: When the request being received must be complete, in seconds of the event loop's clock.
-        response_unread_since_s: Since when the client has not been reading its response, in seconds of the
-            event loop's clock; None while it reads.
-        closing_since_s: When the last response was handed to the operating system, in seconds of the event
-            loop's clock.
+        writing_is_paused: Whether a response waits because the client reads it more slowly than it comes.
     """
 
     state: ConnectionState | None
     receive_by_s: float
-    response_unread_since_s: float | None
-    closing_since_s: float
+    writing_is_paused: bool
 
     @property
     def has_unsent_data(self) -> bool:
         """Whether written data has not been accepted by the operating system yet."""
         ...
 
+    def has_stopped_reading(self, now_s: float) -> bool:
+        """Whether the client no longer reads the data that is written to it; see `ReadingProgress`."""
+        ...
+
     def input_is_empty(self) -> bool:
         """Whether there are no unread bytes."""
         ...
@@ -206,9 +205,12 @@
         self._abort_closing(now_s)
         self._close_expired(ConnectionState.NEW, now_s - IDLE_MAX_S)
         self._close_expired(ConnectionState.IDLE, now_s - idle_max_s)
+        self._abort_unread_responses(now_s)
+
+    def _abort_unread_responses(self, now_s: float) -> None:
+        """Aborts the connections whose client has stopped reading in the middle of a response."""
         for connection in list(self._states[ConnectionState.SERVING]):
-            unread_since_s = connection.response_unread_since_s
-            if unread_since_s is not None and unread_since_s < now_s - UNREAD_RESPONSE_MAX_S:
+            if connection.writing_is_paused and connection.has_stopped_reading(now_s):
                 self.counters["clients.expired"] += 1
                 connection.abort()
 
@@ -225,7 +227,7 @@
         for connection, since_s in list(self._states[ConnectionState.CLOSING].items()):
             if since_s > now_s - CLOSE_GRACE_S:
                 break
-            if connection.has_unsent_data and connection.closing_since_s > now_s - UNREAD_RESPONSE_MAX_S:
+            if connection.has_unsent_data and not connection.has_stopped_reading(now_s):
                 self.set_state(connection, ConnectionState.CLOSING)  # a slow client: restart its grace time
             else:
                 connection.abort()
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -16,8 +16,9 @@
 from lemonridge.net.connection_table import ConnectionState, ConnectionTable
 from lemonridge.net.errors import MessageRejectedError
 from lemonridge.net.http_chunks import ChunkedBodyDecoder
-from lemonridge.net.http_limits import BODY_MAX_BYTES, HEAD_MAX_BYTES
-from lemonridge.net.sockets import input_is_empty, peer_has_closed
+from lemonridge.net.http_limits import BODY_MAX_BYTES, HEAD_MAX_BYTES, READ_BYTES, UNSENT_BYTES
+from lemonridge.net.reading_progress import ReadingProgress
+from lemonridge.net.sockets import input_is_empty, limit_unsent_bytes, peer_has_closed
 from lemonridge.operate.lifecycle import Phase
 
 HEAD_MAX_S = 2.3  # a client may take 2 s for a head; an error response or a close is due within 3 s
@@ -25,7 +26,6 @@
 BODY_MIN_BYTES_PER_S = 64_000  # lowest accepted transfer rate of a body
 SHORT_BODY_BYTES = 16 * 1024  # bodies up to this size do not count against the limit for long bodies
 READ_AHEAD_BYTES = 16 * 1024  # buffered beyond an open request before reading is paused
-READ_BYTES = 32 * 1024  # per read, so also the overshoot past READ_AHEAD_BYTES; asyncio's default is 256 KiB
 CLOSE_CHECK_INTERVAL_S = 0.1  # interval of checks for a disconnect while reading is paused
 
 
@@ -49,8 +49,7 @@
         state: See `TableEntry`.
         accepted_late: Whether the connection was accepted while the process stops; it is closed after its
             first response.
-        response_unread_since_s: See `TableEntry`.
-        closing_since_s: See `TableEntry`.
+        writing_is_paused: See `TableEntry`.
     """
 
     def __init__(
@@ -78,8 +77,9 @@
         # the arrival time of a pipelined request, which is that of its last byte.
         self._arrivals: deque[tuple[int, int]] = deque()
         self._paused_since_us = 0  # later bytes may have waited since this time; 0: not paused
-        self.response_unread_since_s: float | None = None
-        self.closing_since_s = 0.0
+        self.writing_is_paused = False
+        self._written_bytes = 0  # since the connection was accepted
+        self._reading_progress = ReadingProgress()
         self._ends_when_read = False  # the response is written, but the client has not read all of it
         self._write_waiter: asyncio.Future[None] | None = None  # set while `drain` waits
 
@@ -88,6 +88,7 @@
         assert isinstance(transport, asyncio.Transport)
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # of asyncio's socket transport
         self._transport = transport
+        limit_unsent_bytes(transport, UNSENT_BYTES)
         self._table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -98,12 +99,13 @@
         self._on_disconnect(self)
 
     def pause_writing(self) -> None:
-        """Notes since when the client has not been reading its response; called by asyncio."""
-        self.response_unread_since_s = asyncio.get_running_loop().time()
+        """Notes that the client reads its response more slowly than it comes; called by asyncio."""
+        self.writing_is_paused = True
+        self._reading_progress.restart(asyncio.get_running_loop().time())
 
     def resume_writing(self) -> None:
-        """Resumes waiting writers once the client reads again; called by asyncio."""
-        self.response_unread_since_s = None
+        """Resumes waiting writers once the client has read enough; called by asyncio."""
+        self.writing_is_paused = False
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
         if self._ends_when_read:
@@ -144,12 +146,17 @@
         """Writes a part of the open response; returns False if the client has disconnected."""
         if self._transport.is_closing():
             return False
-        self._transport.write(data)
+        self._write(data)
         return True
 
+    def _write(self, data: bytes) -> None:
+        """Writes data, and counts it."""
+        self._written_bytes += len(data)
+        self._transport.write(data)
+
     async def drain(self) -> None:
         """Waits until the client has read enough that more can be written."""
-        if self.response_unread_since_s is not None:
+        if self.writing_is_paused:
             self._write_waiter = asyncio.get_running_loop().create_future()
             await self._write_waiter
 
@@ -159,7 +166,7 @@
         Args:
             keeps_alive: Whether the connection stays open once the client has read the response.
         """
-        if keeps_alive and self.response_unread_since_s is not None:
+        if keeps_alive and self.writing_is_paused:
             self._ends_when_read = True
         else:
             self._response_ended(keeps_alive)
@@ -204,10 +211,10 @@
         self._table.counters["requests.bad"] += 1
         body = f"{reason}\n".encode()
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
-        self._transport.write(head.encode() + b"Connection: close\r\n\r\n" + body)
+        self._write(head.encode() + b"Connection: close\r\n\r\n" + body)
         self._drops_input = self._is_closing = True
         self._data, self._body = bytearray(), bytearray()
-        self.closing_since_s = asyncio.get_running_loop().time()
+        self._reading_progress.restart(asyncio.get_running_loop().time())
         # After 503 input is still read, so that a client that first sends its whole body gets the response.
         if status != HTTPStatus.SERVICE_UNAVAILABLE:
             self._transport.pause_reading()
@@ -222,6 +229,12 @@
         """Whether the client has closed its side, even if unread bytes precede the close."""
         return peer_has_closed(self._transport)
 
+    def has_stopped_reading(self, now_s: float) -> bool:
+        """See `TableEntry`; also notes the progress, so it must be asked repeatedly while data waits."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._reading_progress.update(self._written_bytes - unsent_bytes, now_s)
+        return unsent_bytes > 0 and self._reading_progress.has_stopped(now_s)
+
     @property
     def has_unsent_data(self) -> bool:
         """Whether written bytes remain in this process's buffer: an abort would truncate the response."""
@@ -235,7 +248,8 @@
         self._drops_input = True
         if self._is_closing or self._transport.is_closing():
             return
-        self._is_closing, self.closing_since_s = True, asyncio.get_running_loop().time()
+        self._is_closing = True
+        self._reading_progress.restart(asyncio.get_running_loop().time())
         if self._reading_is_paused:
             self._reading_is_paused = False
             self._transport.resume_reading()  # the input is dropped
@@ -296,7 +310,7 @@
         # RFC 9110, 10.1.1
         expects_continue = head.fields.get(b"expect") == [b"100-continue"]
         if expects_continue and not self._data and head.body_length != 0:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
     def _read_body(self) -> bool:
--- a/lemonridge/net/sockets.py
+++ b/lemonridge/net/sockets.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import select
+import socket
 
 # Errors of socket(2) and connect(2) that are caused by this machine, whichever endpoint is connected to.
 LOCAL_ERRORS = frozenset(
@@ -23,6 +25,20 @@
 )
 
 
+def limit_unsent_bytes(transport: asyncio.BaseTransport, count: int) -> None:
+    """Lets the operating system keep at most about `count` bytes of output that it cannot send yet.
+
+    Without the limit it keeps some MB, and reports room for more only once a third of them has been sent:
+    a slow peer's reading would not be seen for many seconds. A system without this option keeps its default.
+
+    Args:
+        transport: The connection.
+        count: The number of bytes; output that is in flight does not count.
+    """
+    with contextlib.suppress(OSError):
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, count)
+
+
 def input_is_empty(transport: asyncio.BaseTransport) -> bool:
     """Whether a connection has no unread bytes and has not ended.
 
--- a/tests/integration/test_platform_bodies.py
+++ b/tests/integration/test_platform_bodies.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import os
+import select
 import signal
 
-from harness import TIMEOUT_S, Message, PlatformCase, Server, reply, serve_ok
+from harness import TIMEOUT_S, Client, Message, PlatformCase, Server, reply, serve_ok
 
 from lemonridge.net.http_chunks import ChunkedBodyDecoder
 
@@ -182,3 +183,74 @@
             self.assertEqual((await self.client.request("new-write", body=body)).status, 200)
             self.node.requests.clear()
             self.assertLess(self.program.anonymous_memory_bytes(), MEMORY_MAX_BYTES)
+
+
+SLOW_BYTES_PER_S = 200_000  # the page's lowest rate is 64 kB a second
+SLOW_S = 9.0
+
+
+class SlowReaders(PlatformCase):
+    """Clients that read a long response slowly, and one that does not read at all."""
+
+    async def reply_in_form(self, _: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Replies in the form that the first part of the path's last element names."""
+        if message.start_line.split()[1].endswith("1"):
+            reply(writer, LONG_BODY)
+        elif message.start_line.split()[1].endswith("2"):
+            writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(LONG_BODY), LONG_BODY))
+        else:
+            writer.write(b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n" + LONG_BODY)
+            writer.close()
+
+    async def connect_unbuffered(self) -> Client:
+        """Returns a client that leaves its input in the system's buffer until it reads."""
+        client = await self.connect()
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        return client
+
+    async def read_slowly(self, number: int, **headers: str) -> int:
+        """Reads a response slowly and then to its end; returns how many bytes came."""
+        client = await self.connect_unbuffered()
+        path = f"/read/00000003b4d60021/{number:016x}"
+        client.writer.write(client.encode_request(path=path, Connection="close", **headers))
+        loop, connection = asyncio.get_running_loop(), client.writer.get_extra_info("socket")
+        received_bytes, start_s = 0, loop.time()
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        while True:
+            if (
+                loop.time() < start_s + SLOW_S
+                and received_bytes >= (loop.time() - start_s) * SLOW_BYTES_PER_S
+            ):
+                await asyncio.sleep(0.05)
+                continue
+            if not poll.poll(0):
+                await asyncio.sleep(0)
+                continue
+            part = os.read(connection.fileno(), 16384)
+            if not part:
+                return received_bytes
+            received_bytes += len(part)
+
+    # Guards against long responses cut off for slow clients: a full buffer of the system hid their reading.
+    async def test_slow_client_receives_a_long_response_of_every_form(self) -> None:
+        self.node.script = self.reply_in_form
+        async with asyncio.timeout(4 * SLOW_S):
+            received = await asyncio.gather(*(self.read_slowly(number) for number in (1, 2, 3)))
+        for number, received_bytes in enumerate(received, 1):
+            with self.subTest(form=number):
+                self.assertGreaterEqual(received_bytes, len(LONG_BODY))
+        self.assertEqual((await self.program.counters()).get("clients.expired", 0), 0)
+
+    async def test_client_that_does_not_read_its_response_loses_its_connection(self) -> None:
+        self.node.script = self.reply_in_form
+        client = await self.connect_unbuffered()
+        client.writer.write(client.encode_request(path=f"/read/00000003b4d60021/{1:016x}"))
+        start_s = asyncio.get_running_loop().time()
+        await self.node.wait_until(lambda: len(self.node.requests) == 1)
+        async with asyncio.timeout(2 * TIMEOUT_S):
+            while not (await self.program.counters()).get("clients.expired"):
+                await asyncio.sleep(0.1)
+        self.assertGreater(asyncio.get_running_loop().time() - start_s, 5.0)
+        await self.node.wait_until(lambda: not self.node.open_connections)
--- a/tests/net/test_connection_closing.py
+++ b/tests/net/test_connection_closing.py
@@ -195,7 +195,8 @@
     async def test_client_that_never_reads_last_response_is_disconnected(self) -> None:
         client = await self.connect_slow_client(Connection="close")
         for entry in self.front._table._states[ConnectionState.CLOSING]:
-            entry.closing_since_s -= 60.0
+            entry.has_stopped_reading(asyncio.get_running_loop().time())  # notes what the client has taken
+            entry._reading_progress._read_by_s -= 60.0
         self.age_connections(60.0)
         self.front._table._sweep()
         self.assertFalse(self.front.busy)
