--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -26,6 +26,7 @@
 BODY_MIN_BYTES_PER_S = 64_000  # lowest accepted transfer rate of a body
 SHORT_BODY_BYTES = 16 * 1024  # bodies up to this size do not count against the limit for long bodies
 READ_AHEAD_BYTES = 16 * 1024  # buffered beyond an open request before reading is paused
+STREAM_BUFFER_BYTES = 16 * 1024  # of a streamed response beyond which its next part waits
 CLOSE_CHECK_INTERVAL_S = 0.1  # interval of checks for a disconnect while reading is paused
 
 
@@ -154,6 +155,10 @@
         self._written_bytes += len(data)
         self._transport.write(data)
 
+    def limit_write_buffer(self) -> None:
+        """Bounds what is held of the open response, the parts of which come faster than a client may read."""
+        self._transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
+
     async def drain(self) -> None:
         """Waits until the client has read enough that more can be written."""
         if self.writing_is_paused:
@@ -180,6 +185,7 @@
         if self._reading_is_paused:
             self._reading_is_paused = False
             self._transport.resume_reading()
+        self._transport.set_write_buffer_limits()
         if self._data:
             self._begin_request()
             asyncio.get_running_loop().call_soon(self._next_request)
--- a/lemonridge/net/http_endpoints.py
+++ b/lemonridge/net/http_endpoints.py
@@ -25,7 +25,7 @@
 from lemonridge.scheduling.context import MAX_PROCESS_STALL_US
 from lemonridge.scheduling.events import AttemptResult
 
-READ_BUFFER_BYTES = 16 * 1024  # reading from a response's connection pauses once twice this is buffered
+READ_BUFFER_BYTES = 8 * 1024  # reading from a response's connection pauses once twice this is buffered
 DECISION_EXPIRES_S = 0.25  # a decision expires this long after the connect timeout; see HttpEndpoints
 REPORTED_NUMBER_MAX = 1e12  # upper bound for numbers in response headers
 
--- a/lemonridge/net/http_front.py
+++ b/lemonridge/net/http_front.py
@@ -266,8 +266,10 @@
         connection.write(
             encode_stream_head(reply.length, is_chunked, _connection_option(connection, keeps_alive))
         )
+        connection.limit_write_buffer()
         async for part in reply.parts():
             connection.write(encode_chunk(part) if is_chunked else part)
+            del part  # the connection keeps what the client does not take
             await connection.drain()
         if is_chunked:
             connection.write(LAST_CHUNK)
--- a/lemonridge/net/http_response.py
+++ b/lemonridge/net/http_response.py
@@ -12,7 +12,12 @@
 
 from lemonridge.net import http_headers
 from lemonridge.net.errors import ConnectionBrokenError, MessageRejectedError
-from lemonridge.net.http_limits import BODY_MAX_BYTES, BUFFERED_BODY_MAX_BYTES, HEAD_MAX_BYTES
+from lemonridge.net.http_limits import (
+    BODY_MAX_BYTES,
+    BUFFERED_BODY_MAX_BYTES,
+    HEAD_MAX_BYTES,
+    READ_BYTES,
+)
 from lemonridge.net.sockets import input_is_empty
 
 log = logging.getLogger(__name__)
@@ -50,6 +55,11 @@
         self.reusable = True
         self.reusable_at_s = 0.0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bounds what is read at once, which a slow client may leave in memory for each of its responses."""
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # of asyncio's socket transport
+        super().connection_made(transport)
+
     def allow_reuse(self) -> None:
         """Ends the reuse delay."""
         self.reusable = True
@@ -186,7 +196,7 @@
     """
 
     def __init__(self, response: aiohttp.ClientResponse, first_part: bytes) -> None:
-        self._response, self._first_part = response, first_part
+        self._response, self._next_part = response, first_part
         self.length = response.content_length
         self._forwarded_bytes = 0
 
@@ -198,17 +208,15 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            part = self._first_part
-            self._first_part = b""
             while True:
-                self._forwarded_bytes += len(part)
+                self._forwarded_bytes += len(self._next_part)
                 if self._forwarded_bytes > BODY_MAX_BYTES:
                     raise ConnectionBrokenError(f"response body exceeds {BODY_MAX_BYTES} bytes")
-                if part:
-                    yield part
+                if self._next_part:
+                    yield self._take_next_part()
                 async with asyncio.timeout_at(loop.time() + STALL_S):
-                    part = await self._response.content.readany()
-                if not part and self._response.content.at_eof():
+                    self._next_part = await self._response.content.readany()
+                if not self._next_part and self._response.content.at_eof():
                     break
             if self.length is not None and self._forwarded_bytes != self.length:
                 raise ConnectionBrokenError(
@@ -219,6 +227,11 @@
         finally:
             self.close()
 
+    def _take_next_part(self) -> bytes:
+        """Returns the next part without keeping it in memory while it is passed on."""
+        part, self._next_part = self._next_part, b""
+        return part
+
     def close(self) -> None:
         """Discards the unread rest; the connection can be reused if the body was read to its end."""
         if self._response.content.at_eof():
--- a/tests/integration/test_platform_bodies.py
+++ b/tests/integration/test_platform_bodies.py
@@ -187,20 +187,24 @@
 
 SLOW_BYTES_PER_S = 200_000  # the page's lowest rate is 64 kB a second
 SLOW_S = 9.0
+UNREAD_RESPONSES = 40
+RESPONSE_HELD_MAX_BYTES = 128 * 1024  # docs/operate/daily.md, with what the allocator adds
 
 
 class SlowReaders(PlatformCase):
-    """Clients that read a long response slowly, and one that does not read at all."""
+    """Clients that read a long response slowly, and some that do not read at all."""
+
+    body = LONG_BODY
 
     async def reply_in_form(self, _: Server, message: Message, writer: asyncio.StreamWriter) -> None:
         """Replies in the form that the first part of the path's last element names."""
         if message.start_line.split()[1].endswith("1"):
-            reply(writer, LONG_BODY)
+            reply(writer, self.body)
         elif message.start_line.split()[1].endswith("2"):
             writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
-            writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(LONG_BODY), LONG_BODY))
+            writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(self.body), self.body))
         else:
-            writer.write(b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n" + LONG_BODY)
+            writer.write(b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n" + self.body)
             writer.close()
 
     async def connect_unbuffered(self) -> Client:
@@ -243,6 +247,19 @@
                 self.assertGreaterEqual(received_bytes, len(LONG_BODY))
         self.assertEqual((await self.program.counters()).get("clients.expired", 0), 0)
 
+    # Guards against a broker over its memory: each slow reader held over 0.5 MB of its response.
+    async def test_many_unread_long_responses_hold_little_memory(self) -> None:
+        self.node.script, self.body = self.reply_in_form, LONG_BODY[: 2 << 20]
+        memory_before = self.program.anonymous_memory_bytes()
+        for number in range(UNREAD_RESPONSES):
+            client = await self.connect_unbuffered()
+            path = f"/read/{number:016x}/{number % 3 + 1:016x}"
+            client.writer.write(client.encode_request(path=path))
+            await self.node.wait_until(lambda count=number + 1: len(self.node.requests) == count)
+        await asyncio.sleep(1.0)  # each response goes on until all buffers of its way are full
+        growth_bytes = self.program.anonymous_memory_bytes() - memory_before
+        self.assertLess(growth_bytes, UNREAD_RESPONSES * RESPONSE_HELD_MAX_BYTES)
+
     async def test_client_that_does_not_read_its_response_loses_its_connection(self) -> None:
         self.node.script = self.reply_in_form
         client = await self.connect_unbuffered()
