Remember the reads of a body only until it continues, and bound those read ahead

Cause: Connection._arrivals kept an entry for each read until the request was complete. They date a request that waits behind another; of an incomplete one the last byte, which dates it, is still to come.

Fix: an incomplete request drops the entries. Behind an open request reading pauses after 256 reads too, not after 16 KiB alone: in single bytes these were 16,384 entries.

--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -26,6 +26,7 @@
 BODY_MIN_BYTES_PER_S = 64_000  # lowest accepted transfer rate of a body
 SHORT_BODY_BYTES = 16 * 1024  # bodies up to this size do not count against the limit for long bodies
 READ_AHEAD_BYTES = 16 * 1024  # buffered beyond an open request before reading is paused
+READS_AHEAD_MAX = 256  # the same in reads, each of which is remembered: a client may send single bytes
 STREAM_BUFFER_BYTES = 16 * 1024  # of a streamed response beyond which its next part waits
 CLOSE_CHECK_INTERVAL_S = 0.1  # interval of checks for a disconnect while reading is paused
 
@@ -125,11 +126,16 @@
         self._data += data
         if self.state is not ConnectionState.SERVING:
             self._next_request()
-        elif len(self._data) > READ_AHEAD_BYTES and not self._reading_is_paused:
+        elif self._has_read_ahead and not self._reading_is_paused:
             self._reading_is_paused, self._paused_since_us = True, self._table.clock.now_us()
             self._transport.pause_reading()
             self._check_for_close()
 
+    @property
+    def _has_read_ahead(self) -> bool:
+        """Whether enough is buffered beyond the open request."""
+        return len(self._data) > READ_AHEAD_BYTES or len(self._arrivals) > READS_AHEAD_MAX
+
     def _check_for_close(self) -> None:
         """Detects that the client has disconnected while reading from it is paused.
 
@@ -277,6 +283,7 @@
             return
         try:
             if (self._head is None and not self._read_head()) or not self._read_body():
+                self._arrivals.clear()  # the last byte of the request comes with a later read
                 return
         except MessageRejectedError as error:
             self.reject(error.status, str(error))
