iSCSI: a slow initiator is not silent, and one that stops reading loses its connection

An initiator that reads its data slowly was given up as silent after twice `ping_s`, as the ping waited behind that data; at a logout or a stop output was cut after 1 s. One that did not read held its data for up to 60 s, uncounted.

Cause: silence was measured by what arrives alone, and nothing looked at the output.

Fix: net/client_output.py, the output of a client of either front with its progress, which the HTTP front's connection now uses too. Progress is looked at every 0.5 s; pending output is no silence; a closed connection is kept while its output is being read.

--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -20,6 +20,7 @@
     PduError,
     read_pdu,
 )
+from lemonridge.net.client_output import ClientOutput
 
 if TYPE_CHECKING:
     from lemonridge.iscsi.portal import IscsiFront
@@ -28,7 +29,8 @@
 log = logging.getLogger(__name__)
 
 LOGIN_TIMEOUT_S = 5.0  # from the accepted connection to the end of its login phase
-CLOSE_TIMEOUT_S = 1.0  # so that pending output to a peer which reads nothing does not stay in memory
+READ_CHECK_INTERVAL_S = 0.5  # between two looks at whether the initiator takes pending output
+CLOSE_GRACE_S = 1.0  # from the close until output is no longer sent to a peer that does not read
 
 
 class Connection:
@@ -64,7 +66,10 @@
         self.unanswered_pings: set[int] = set()
         self.last_received_s = front.loop.time()
         self.closed = False
+        self._output = ClientOutput(writer.transport)
+        self._output_pending_until_s = 0.0  # when a slow initiator had, or will have, read what was pending
         self._ping_timer: asyncio.TimerHandle | None = None
+        self._read_check_timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Runs the login, then processes PDUs until a logout, the end of the connection or a protocol error.
@@ -92,6 +97,7 @@
         self.statuses.capacity = (
             self.front.config.max_unacknowledged_statuses if self.agreed.recovery_level else 0
         )
+        self._check_reading()
         self._check_liveness()
         try:
             while not self.closed and session.receive(self, await self._next_pdu(session)):
@@ -179,7 +185,7 @@
             self._assign_stat_sn(response)
             # MaxCmdSN
             response.words[3] = (front.login_exp_cmd_sns[self] + front.config.queue_depth - 1) & UINT32_MASK
-            self.writer.write(response.encode())
+            self._output.write(response.encode())
             await self.writer.drain()
             if reply.login_ended:
                 return None if reply.status else login
@@ -208,7 +214,7 @@
         if self.session is not None:
             pdu.words[2], pdu.words[3] = self.session.command_numbers()
         if not self.writer.is_closing():
-            self.writer.write(pdu.encode(self.agreed.header_digest, self.agreed.data_digest))
+            self._output.write(pdu.encode(self.agreed.header_digest, self.agreed.data_digest))
 
     def _assign_stat_sn(self, pdu: Pdu) -> None:
         """Gives a PDU the next StatSN."""
@@ -230,12 +236,13 @@
     def _check_liveness(self) -> None:
         """Pings an initiator that has been silent for `ping_s`; aborts the connection after twice that time.
 
-        The ping is a NOP-In (RFC 7143, section 11.19).
+        The ping is a NOP-In (RFC 7143, section 11.19). An initiator that still reads earlier output, behind
+        which the ping waits, is not silent.
         """
         interval_s = self.front.config.ping_s
         if not interval_s or self.closed:
             return
-        silence_s = self.front.loop.time() - self.last_received_s
+        silence_s = self.front.loop.time() - max(self.last_received_s, self._output_pending_until_s)
         if silence_s >= 2 * interval_s:
             log.info("initiator silent", extra={"peer": self.peer, "cid": self.cid})
             self.front.counters["connections.silent"] += 1
@@ -247,8 +254,20 @@
             self.send(Pdu(Op.NOP_IN, words=[tag, 0, 0, 0, 0, 0, 0]))
         self._ping_timer = self.front.loop.call_later(interval_s / 4, self._check_liveness)
 
+    def _check_reading(self) -> None:
+        """Aborts the connection if its initiator has stopped reading, and repeats until it is closed."""
+        now_s = self.front.loop.time()
+        if self._output.has_stopped_reading(now_s):
+            log.info("initiator has stopped reading", extra={"peer": self.peer, "cid": self.cid})
+            self.front.counters["connections.unread"] += 1
+            self.writer.transport.abort()
+            return
+        if self._output.unsent_bytes:
+            self._output_pending_until_s = max(now_s, self._output.read_by_s)
+        self._read_check_timer = self.front.loop.call_later(READ_CHECK_INTERVAL_S, self._check_reading)
+
     def close(self) -> None:
-        """Closes the connection; pending output is still sent for up to `CLOSE_TIMEOUT_S`.
+        """Closes the connection; pending output is still sent to an initiator that reads it.
 
         A second call has no effect.
         """
@@ -257,5 +276,14 @@
         self.closed = True
         if self._ping_timer is not None:
             self._ping_timer.cancel()
+        if self._read_check_timer is not None:
+            self._read_check_timer.cancel()
         self.writer.close()
-        self.front.loop.call_later(CLOSE_TIMEOUT_S, self.writer.transport.abort)
+        self.front.loop.call_later(CLOSE_GRACE_S, self._end_output)
+
+    def _end_output(self) -> None:
+        """Aborts the closed connection unless the initiator still reads its output."""
+        if self._output.unsent_bytes and not self._output.has_stopped_reading(self.front.loop.time()):
+            self.front.loop.call_later(READ_CHECK_INTERVAL_S, self._end_output)
+        else:
+            self.writer.transport.abort()
--- a/lemonridge/net/connection_table.py
+++ b/lemonridge/net/connection_table.py
@@ -63,7 +63,7 @@
         ...
 
     def has_stopped_reading(self, now_s: float) -> bool:
-        """Whether the client no longer reads the data that is written to it; see `ReadingProgress`."""
+        """Whether the client no longer reads the data that is written to it."""
         ...
 
     def input_is_empty(self) -> bool:
--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -13,12 +13,12 @@
 
 from lemonridge.core.memory_budget import Reservation
 from lemonridge.net import http_headers
+from lemonridge.net.client_output import ClientOutput
 from lemonridge.net.connection_table import ConnectionState, ConnectionTable
 from lemonridge.net.errors import MessageRejectedError
 from lemonridge.net.http_chunks import ChunkedBodyDecoder
-from lemonridge.net.http_limits import BODY_MAX_BYTES, HEAD_MAX_BYTES, READ_BYTES, UNSENT_BYTES
-from lemonridge.net.reading_progress import ReadingProgress
-from lemonridge.net.sockets import input_is_empty, limit_unsent_bytes, peer_has_closed
+from lemonridge.net.http_limits import BODY_MAX_BYTES, HEAD_MAX_BYTES, READ_BYTES
+from lemonridge.net.sockets import input_is_empty, peer_has_closed
 from lemonridge.operate.lifecycle import Phase
 
 HEAD_MAX_S = 2.3  # a client may take 2 s for a head; an error response or a close is due within 3 s
@@ -80,8 +80,6 @@
         self._arrivals: deque[tuple[int, int]] = deque()
         self._paused_since_us = 0  # later bytes may have waited since this time; 0: not paused
         self.writing_is_paused = False
-        self._written_bytes = 0  # since the connection was accepted
-        self._reading_progress = ReadingProgress()
         self._ends_when_read = False  # the response is written, but the client has not read all of it
         self._write_waiter: asyncio.Future[None] | None = None  # set while `drain` waits
 
@@ -90,7 +88,7 @@
         assert isinstance(transport, asyncio.Transport)
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # of asyncio's socket transport
         self._transport = transport
-        limit_unsent_bytes(transport, UNSENT_BYTES)
+        self._output = ClientOutput(transport)
         self._table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -103,7 +101,7 @@
     def pause_writing(self) -> None:
         """Notes that the client reads its response more slowly than it comes; called by asyncio."""
         self.writing_is_paused = True
-        self._reading_progress.restart(asyncio.get_running_loop().time())
+        self._output.restart_progress()
 
     def resume_writing(self) -> None:
         """Resumes waiting writers once the client has read enough; called by asyncio."""
@@ -153,14 +151,9 @@
         """Writes a part of the open response; returns False if the client has disconnected."""
         if self._transport.is_closing():
             return False
-        self._write(data)
+        self._output.write(data)
         return True
 
-    def _write(self, data: bytes) -> None:
-        """Writes data, and counts it."""
-        self._written_bytes += len(data)
-        self._transport.write(data)
-
     def limit_write_buffer(self) -> None:
         """Bounds what is held of the open response, the parts of which come faster than a client may read."""
         self._transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
@@ -223,10 +216,10 @@
         self._table.counters["requests.bad"] += 1
         body = f"{reason}\n".encode()
         head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
-        self._write(head.encode() + b"Connection: close\r\n\r\n" + body)
+        self._output.write(head.encode() + b"Connection: close\r\n\r\n" + body)
         self._drops_input = self._is_closing = True
         self._data, self._body = bytearray(), bytearray()
-        self._reading_progress.restart(asyncio.get_running_loop().time())
+        self._output.restart_progress()
         # After 503 input is still read, so that a client that first sends its whole body gets the response.
         if status != HTTPStatus.SERVICE_UNAVAILABLE:
             self._transport.pause_reading()
@@ -242,15 +235,13 @@
         return peer_has_closed(self._transport)
 
     def has_stopped_reading(self, now_s: float) -> bool:
-        """See `TableEntry`; also notes the progress, so it must be asked repeatedly while data waits."""
-        unsent_bytes = self._transport.get_write_buffer_size()
-        self._reading_progress.update(self._written_bytes - unsent_bytes, now_s)
-        return unsent_bytes > 0 and self._reading_progress.has_stopped(now_s)
+        """Whether the client no longer reads the data that is written to it; see `ClientOutput`."""
+        return self._output.has_stopped_reading(now_s)
 
     @property
     def has_unsent_data(self) -> bool:
         """Whether written bytes remain in this process's buffer: an abort would truncate the response."""
-        return self._transport.get_write_buffer_size() > 0
+        return self._output.unsent_bytes > 0
 
     def close(self) -> None:
         """Ignores further input, ends the output, and closes once the client has closed its side too.
@@ -261,7 +252,7 @@
         if self._is_closing or self._transport.is_closing():
             return
         self._is_closing = True
-        self._reading_progress.restart(asyncio.get_running_loop().time())
+        self._output.restart_progress()
         if self._reading_is_paused:
             self._reading_is_paused = False
             self._transport.resume_reading()  # the input is dropped
@@ -323,7 +314,7 @@
         # RFC 9110, 10.1.1
         expects_continue = head.fields.get(b"expect") == [b"100-continue"]
         if expects_continue and not self._data and head.body_length != 0:
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._output.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
     def _read_body(self) -> bool:
--- a/lemonridge/net/reading_progress.py
+++ b/lemonridge/net/reading_progress.py
@@ -17,15 +17,18 @@
     whole wait.
 
     Times are in seconds of the event loop's clock.
+
+    Attributes:
+        read_by_s: When a reader at the lowest rate has read all that its system has taken, within the bound.
     """
 
     def __init__(self) -> None:
         self._taken_bytes = 0
-        self._read_by_s = 0.0  # when a reader at the lowest rate has read all that its system has taken
+        self.read_by_s = 0.0
 
     def restart(self, now_s: float) -> None:
         """Notes that bytes begin to wait for the peer, so that time without output does not count."""
-        self._read_by_s = max(self._read_by_s, now_s)
+        self.read_by_s = max(self.read_by_s, now_s)
 
     def update(self, taken_bytes: int, now_s: float) -> None:
         """Notes how many bytes the peer's system has taken since the connection began.
@@ -36,9 +39,9 @@
         """
         newly_taken_bytes, self._taken_bytes = taken_bytes - self._taken_bytes, taken_bytes
         if newly_taken_bytes > 0:
-            read_by_s = max(self._read_by_s, now_s) + newly_taken_bytes / READ_MIN_BYTES_PER_S
-            self._read_by_s = min(read_by_s, now_s + UNREAD_BY_PEER_MAX_BYTES / READ_MIN_BYTES_PER_S)
+            read_by_s = max(self.read_by_s, now_s) + newly_taken_bytes / READ_MIN_BYTES_PER_S
+            self.read_by_s = min(read_by_s, now_s + UNREAD_BY_PEER_MAX_BYTES / READ_MIN_BYTES_PER_S)
 
     def has_stopped(self, now_s: float) -> bool:
         """Whether the peer has stopped reading, if bytes wait for it."""
-        return now_s > self._read_by_s + READ_PAUSE_MAX_S
+        return now_s > self.read_by_s + READ_PAUSE_MAX_S
