A stopping process waits for responses that are still in its buffer

What callers saw: of an answer of 5 MB, begun before SIGTERM and read at 110 kB a second, the last 10,092 bytes were missing, with a plain end of the connection: 4 of 4 plays of a probe, for the client that was served last.

Cause: the rest of a response that keeps its connection is in the transport's buffer when the connection becomes idle, and `ConnectionTable.busy`, which the process waits for at its end, looked at open and closing connections alone. Any other open request hid it.

Fix: a connection with unsent data is busy in every state.

--- a/lemonridge/net/connection_table.py
+++ b/lemonridge/net/connection_table.py
@@ -162,8 +162,13 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is open, or a response may still be in transit."""
-        return bool(self._states[ConnectionState.SERVING] or self._states[ConnectionState.CLOSING])
+        """Whether a request is open, or a response may still be in transit.
+
+        A connection is idle while the rest of its last response, which fits the buffer, waits for the client.
+        """
+        if self._states[ConnectionState.SERVING] or self._states[ConnectionState.CLOSING]:
+            return True
+        return any(connection.has_unsent_data for state in self._states for connection in state)
 
     def on_lifecycle_changed(self) -> None:
         """Applies a change of the lifecycle's state immediately."""
--- a/tests/net/test_connection_closing.py
+++ b/tests/net/test_connection_closing.py
@@ -192,6 +192,18 @@
         self.front._table._sweep()
         self.assertTrue((await self.read_until(client, b"")).endswith(b"data"))
 
+    # Guards against a response cut short by the end of the process: its connection already counted as idle.
+    async def test_stop_waits_for_a_slow_client_of_an_idle_connection(self) -> None:
+        client = await self.connect_slow_client()
+        self.assertTrue(self.front._table._states[ConnectionState.IDLE])
+        self.assertTrue(self.front.busy)
+        async with asyncio.timeout(TIMEOUT_S):
+            await self.front.stop()
+        self.assertTrue(self.front.busy)
+        self.assertTrue((await self.read_until(client, b"")).endswith(b"data"))
+        while self.front.busy:
+            await asyncio.sleep(0)
+
     async def test_client_that_never_reads_last_response_is_disconnected(self) -> None:
         client = await self.connect_slow_client(Connection="close")
         for entry in self.front._table._states[ConnectionState.CLOSING]:
