--- a/lemonridge/net/http_connection.py
+++ b/lemonridge/net/http_connection.py
@@ -17,13 +17,12 @@
 from lemonridge.net.connection_table import ConnectionState, ConnectionTable
 from lemonridge.net.errors import MessageRejectedError
 from lemonridge.net.http_chunks import ChunkedBodyDecoder
-from lemonridge.net.http_limits import BODY_MAX_BYTES, HEAD_MAX_BYTES, READ_BYTES
+from lemonridge.net.http_limits import BODY_MAX_BYTES, BODY_MIN_BYTES_PER_S, HEAD_MAX_BYTES, READ_BYTES
 from lemonridge.net.sockets import input_is_empty, peer_has_closed
 from lemonridge.operate.lifecycle import Phase
 
 HEAD_MAX_S = 2.3  # a client may take 2 s for a head; an error response or a close is due within 3 s
 BODY_MARGIN_S = 1.0  # time for a body in addition to its transfer time at the lowest rate
-BODY_MIN_BYTES_PER_S = 64_000  # lowest accepted transfer rate of a body
 SHORT_BODY_BYTES = 16 * 1024  # bodies up to this size do not count against the limit for long bodies
 READ_AHEAD_BYTES = 16 * 1024  # buffered beyond an open request before reading is paused
 READS_AHEAD_MAX = 256  # the same in reads, each of which is remembered: a client may send single bytes
--- a/lemonridge/net/http_limits.py
+++ b/lemonridge/net/http_limits.py
@@ -1,4 +1,4 @@
-"""Size limits of the platform's protocol and of this broker, in bytes."""
+"""Limits of the platform's protocol and of this broker: sizes in bytes, and the rate of a body."""
 
 from __future__ import annotations
 
@@ -8,3 +8,4 @@
 READ_BYTES = 32 * 1024  # per read from a connection; asyncio's default is 256 KiB
 UNSENT_BYTES = 64 * 1024  # of a connection's output that the system keeps beside what is in flight
 BODY_MAX_BYTES = 32 * 2**20  # of the body of any request or response
+BODY_MIN_BYTES_PER_S = 64_000  # DAYS, "Hard days": the lowest rate of a body, either way
--- a/lemonridge/net/reading_progress.py
+++ b/lemonridge/net/reading_progress.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-READ_MIN_BYTES_PER_S = 64_000  # DAYS, "Hard days": the lowest rate of a body
+from lemonridge.net.http_limits import BODY_MIN_BYTES_PER_S
+
 READ_PAUSE_MAX_S = 5.0  # how long a peer may leave its input unread
 UNREAD_BY_PEER_MAX_BYTES = 1 << 20  # that count as not read yet by the peer, in its system's buffer
 
@@ -12,7 +13,7 @@
 
     The system of a peer takes bytes ahead, and makes room for more only once a part of its buffer is empty.
     So a pause says nothing while the peer may still be reading what its system has taken. A peer has stopped
-    once `READ_PAUSE_MAX_S` have passed since a reader at `READ_MIN_BYTES_PER_S` would have read all of that,
+    once `READ_PAUSE_MAX_S` have passed since a reader at `BODY_MIN_BYTES_PER_S` would have read all of that,
     or since the last bytes were taken. `UNREAD_BY_PEER_MAX_BYTES` bounds what it is credited with, and so the
     whole wait.
 
@@ -39,8 +40,8 @@
         """
         newly_taken_bytes, self._taken_bytes = taken_bytes - self._taken_bytes, taken_bytes
         if newly_taken_bytes > 0:
-            read_by_s = max(self.read_by_s, now_s) + newly_taken_bytes / READ_MIN_BYTES_PER_S
-            self.read_by_s = min(read_by_s, now_s + UNREAD_BY_PEER_MAX_BYTES / READ_MIN_BYTES_PER_S)
+            read_by_s = max(self.read_by_s, now_s) + newly_taken_bytes / BODY_MIN_BYTES_PER_S
+            self.read_by_s = min(read_by_s, now_s + UNREAD_BY_PEER_MAX_BYTES / BODY_MIN_BYTES_PER_S)
 
     def has_stopped(self, now_s: float) -> bool:
         """Whether the peer has stopped reading, if bytes wait for it."""
--- a/tests/net/test_reading_progress.py
+++ b/tests/net/test_reading_progress.py
@@ -4,8 +4,8 @@
 
 import unittest
 
+from lemonridge.net.http_limits import BODY_MIN_BYTES_PER_S
 from lemonridge.net.reading_progress import (
-    READ_MIN_BYTES_PER_S,
     READ_PAUSE_MAX_S,
     UNREAD_BY_PEER_MAX_BYTES,
     ReadingProgress,
@@ -13,7 +13,7 @@
 
 START_S = 1000.0
 STEP_S = 0.25
-LONGEST_WAIT_S = READ_PAUSE_MAX_S + UNREAD_BY_PEER_MAX_BYTES / READ_MIN_BYTES_PER_S
+LONGEST_WAIT_S = READ_PAUSE_MAX_S + UNREAD_BY_PEER_MAX_BYTES / BODY_MIN_BYTES_PER_S
 
 
 class ReadingProgressTest(unittest.TestCase):
@@ -37,7 +37,7 @@
                 taken_bytes, now_s = 2 * step_bytes, START_S
                 self.progress.update(taken_bytes, now_s)
                 for _ in range(100):
-                    now_s += step_bytes / READ_MIN_BYTES_PER_S
+                    now_s += step_bytes / BODY_MIN_BYTES_PER_S
                     self.assertFalse(self.progress.has_stopped(now_s))
                     taken_bytes += step_bytes
                     self.progress.update(taken_bytes, now_s)
