--- a/review/lib-3/platform_standins.py
+++ b/review/lib-3/platform_standins.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import re
+import secrets
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -48,6 +49,7 @@
 
     def __init__(self, port: int = 0) -> None:
         self.port = port
+        self.kills = 0
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> Any:
@@ -58,6 +60,7 @@
 
     def kill(self) -> None:
         """Refuses new connections and resets the open ones, as the death of a process does."""
+        self.kills += 1
         self._listener.close()
         for writer in list(self._writers):
             writer.transport.abort()
@@ -112,10 +115,12 @@
         watch = re.search(r"after=(\d+)&wait_ms=(\d+)", message.start_line)
         if watch is None:
             return answer(self._encode(True, list(self.hosts.values())))
-        after, wait_s = int(watch[1]), int(watch[2]) / 1000
+        after, wait_s, kills = int(watch[1]), int(watch[2]) / 1000, self.kills
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(lambda: self.seq > after)
+        if self.kills != kills:
+            raise ConnectionResetError  # this watch was open when the service died
         changed = [entry for host, entry in self.hosts.items() if self._versions[host] > after]
         return answer(self._encode(False, changed))
 
@@ -304,7 +309,7 @@
         "name": name,
         "listen": f"127.0.0.1:{listen}",
         "discovery": f"127.0.0.1:{discovery}",
-        "seed": "8c1f30d27a5be964",
+        "seed": secrets.token_hex(8),  # DEPLOY: new with each start
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {},
         **values,
