--- a/review/lib-3/caching_node.py
+++ b/review/lib-3/caching_node.py
@@ -24,6 +24,8 @@
     Attributes:
         durable: The content of the medium, by LUN and block.
         synchronized: The number of SYNCHRONIZE CACHE commands that it has executed.
+        reports_power_on: Whether the first command of each session after a start is answered with the unit attention
+            POWER ON (SAM-5, 5.14; SPC-4, 29h/00h) and not executed.
         on_event: Called with a line for each command that it executes.
     """
 
@@ -31,6 +33,7 @@
         super().__init__(*arguments, **options)
         self.durable: dict[tuple[int, int], bytes] = {}
         self.synchronized = 0
+        self.reports_power_on = False
         self.on_event: Callable[[str], None] = lambda line: None
 
     def add_extent(
@@ -67,9 +70,15 @@
     """A session that executes SYNCHRONIZE CACHE too."""
 
     node: CachingNode
+    _told_of_power_on = False
 
     def _on_command(self, pdu: Pdu) -> None:
         lun, opcode = unpack_lun(pdu.lun), pdu.cdb[0]
+        if self.node.reports_power_on and not self._told_of_power_on:
+            self._told_of_power_on = True
+            self.node.on_event(f"{self.node.name}: answers {opcode:#04x} with POWER ON, RESET, OR BUS DEVICE RESET")
+            self._send_status(pdu, scsi.check_condition(0x06, 0x29))
+            return
         if lun is not None and opcode in SYNCHRONIZE_CACHES:
             self.node.synchronize(lun)
         elif opcode in scsi.READ_WRITE_CDB_BYTES:
