--- a/review/lib-3/caching_node.py
+++ b/review/lib-3/caching_node.py
@@ -1,8 +1,7 @@
 """A stand-in node with a volatile write cache: the project's own, and what SBC-3 says of such a cache.
 
-SBC-3, 4.15: written blocks may stand in a volatile cache until SYNCHRONIZE CACHE has ended with GOOD; a loss of
-power loses the rest. A hand-over makes durable what it hands over (docs/extents.md, "The routing decisions"). The mode
-page of the broker tells initiators of a write cache (WCE).
+SBC-3, 4.15: written blocks may stand in a volatile cache until SYNCHRONIZE CACHE has ended with GOOD; a loss
+of power loses the rest. The mode page of the broker tells initiators of a write cache (WCE).
 """
 
 from __future__ import annotations
@@ -24,7 +23,7 @@
     Attributes:
         durable: The content of the medium, by LUN and block.
         synchronized: The number of SYNCHRONIZE CACHE commands that it has executed.
-        reports_power_on: Whether the first command of each session after a start is answered with the unit attention
+        reports_power_on: Whether the first command of each session is answered with the unit attention
             POWER ON (SAM-5, 5.14; SPC-4, 29h/00h) and not executed.
         on_event: Called with a line for each command that it executes.
     """
@@ -76,7 +75,9 @@
         lun, opcode = unpack_lun(pdu.lun), pdu.cdb[0]
         if self.node.reports_power_on and not self._told_of_power_on:
             self._told_of_power_on = True
-            self.node.on_event(f"{self.node.name}: answers {opcode:#04x} with POWER ON, RESET, OR BUS DEVICE RESET")
+            self.node.on_event(
+                f"{self.node.name}: answers {opcode:#04x} with POWER ON, RESET, OR BUS DEVICE RESET"
+            )
             self._send_status(pdu, scsi.check_condition(0x06, 0x29))
             return
         if lun is not None and opcode in SYNCHRONIZE_CACHES:
--- a/review/lib-3/platform_standins.py
+++ b/review/lib-3/platform_standins.py
@@ -157,7 +157,14 @@
         self._streams = None
 
     async def request(
-        self, cls: str, volume: int, key: int, deadline_ms: int, plan: str, timeout_s: float = 10.0, **options: Any
+        self,
+        cls: str,
+        volume: int,
+        key: int,
+        deadline_ms: int,
+        plan: str,
+        timeout_s: float = 10.0,
+        **options: Any,
     ) -> Message | None:
         """Sends a request and returns its response; None if there was none.
 
--- a/review/lib-3/support.py
+++ b/review/lib-3/support.py
@@ -1,7 +1,7 @@
 """Shared helpers of the scripts of this review: the program as a process, the record, free ports.
 
-The scripts run with `.venv/bin/python` from the root of the repository, as the deploy file builds it, and need
-no other library than those that the program itself needs.
+The scripts run with `.venv/bin/python` from the root of the repository, as the deploy file builds it, and
+need no other library than those that the program itself needs.
 """
 
 from __future__ import annotations
@@ -143,10 +143,14 @@
         self._brokers.append(broker)
         return await broker.start(arguments, **options)
 
-    def end(self) -> None:
-        """Ends all processes and removes the temporary folder."""
+    async def end(self) -> None:
+        """Ends all processes."""
         for broker in self._brokers:
             broker.kill_now()
+        await asyncio.gather(*(broker.process.wait() for broker in self._brokers))
+
+    def clean(self) -> None:
+        """Removes the temporary folder."""
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -155,22 +159,27 @@
     case = Case(Path(script).resolve().parent)
 
     async def main() -> int:
+        playing = asyncio.ensure_future(play(case))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
             async with asyncio.timeout(limit_s):
-                return await play(case)
+                return await playing
         except CannotRunError as error:
             case.record.say(f"could not run: {error}")
         except TimeoutError:
             case.record.say("could not run: the time is over")
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             case.record.say(f"could not run: {type(error).__name__}: {error}")
+        finally:
+            await case.end()
         return NOT_RUN
 
     status = NOT_RUN
     try:
         status = asyncio.run(main())
     finally:
-        case.end()
+        case.clean()
     case.record.say({HELD: "the rule held", BROKEN: "the rule was broken"}.get(status, "no verdict"))
     sys.stdout.flush()
     os._exit(status)
