--- a/review/lib-3/lossy_proxy.py
+++ b/review/lib-3/lossy_proxy.py
@@ -1,4 +1,4 @@
-"""A proxy on loopback that loses answers and resets connections."""
+"""A proxy on loopback that loses answers, resets connections or lets them fall silent."""
 
 from __future__ import annotations
 
@@ -12,10 +12,12 @@
     Attributes:
         port: Its own port, once started.
         loses_answers: Whether what comes from the other port is dropped.
+        is_silent: Whether nothing is passed on either way; the connections stay open.
     """
 
     def __init__(self, target_port: int) -> None:
-        self._target_port, self.port, self.loses_answers = target_port, 0, False
+        self._target_port, self.port = target_port, 0
+        self.loses_answers = self.is_silent = False
         self._writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> LossyProxy:
@@ -42,6 +44,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if not (is_answer and self.loses_answers):
+                if not self.is_silent and not (is_answer and self.loses_answers):
                     writer.write(data)
-        writer.close()
+        if not self.is_silent:
+            writer.close()
