Keep a session whose connection was replaced, and let an ended one refuse connections

What callers saw: below recovery level 2, after an initiator had logged in again with the CID of a silent connection (RFC 7143, 6.3.4), SIGTERM brought no request to log out; the process served on until SIGKILL, which found commands that it had taken and not answered.

Cause: add_connection told the session of the replacement as of a lost connection, and below level 2 that ends the session: it left every registry. The new connection was added to it all the same, so that the ended session went on being served and nothing could find it.

Change: a replacement is an implicit logout: the tasks of the old connection are aborted below level 2, or wait to be reassigned at level 2, and the session goes on. Logouts and replacements share one path; a lost connection has another. A session that has ended or is about to end refuses connections, so that an ended one can't be served, whoever asks.

--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -20,7 +20,7 @@
 from lemonridge.iscsi.mapped import MappedLuns
 from lemonridge.iscsi.pdu import keep_alive
 from lemonridge.iscsi.reservation_file import ReservationFile
-from lemonridge.iscsi.session import Session
+from lemonridge.iscsi.session import Session, SessionEndedError
 from lemonridge.iscsi.task import Task
 from lemonridge.net.listener import Listener, listening_socket
 from lemonridge.scheduling.events import EndpointState
@@ -185,13 +185,13 @@
             login: Its login.
 
         Raises:
-            ConnectionError: The session to join has ended.
+            SessionEndedError: The session to join has ended.
         """
         exp_cmd_sn = self.login_exp_cmd_sns.pop(connection, 0)
         if login.existing_session is not None:
             joined = self.sessions.get(login.tsih)
             if joined is None:
-                raise ConnectionError("the session ended during the login")
+                raise SessionEndedError
             joined.add_connection(connection)
             return joined
         for previous in list(self.sessions.values()):
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -49,6 +49,10 @@
 ReceivedPdu = tuple[Connection, Pdu]
 
 
+class SessionEndedError(ConnectionError):
+    """A connection cannot be added to a session that has ended or is about to end."""
+
+
 class Session:
     """One session, identified by its TSIH.
 
@@ -96,59 +100,96 @@
     def add_connection(self, connection: Connection) -> None:
         """Adds a connection whose login has succeeded.
 
-        It replaces an existing connection with the same CID (RFC 7143, section 6.3.4).
+        An existing connection with the same CID is logged out implicitly (RFC 7143, section 6.3.4).
 
         Args:
-            connection: The connection; it is closed at once if the session is about to end.
+            connection: The connection.
+
+        Raises:
+            SessionEndedError: The session has ended, or ends once its open commands are answered.
         """
+        if self.ended or self.ends_when_idle:
+            raise SessionEndedError
         previous = self.connections.get(connection.cid)
         if previous is not None:
             self.front.counters["connections.reinstated"] += 1
-            self.connection_lost(previous)
-            previous.close()
+            self._log_out_connection(previous, keeps_tasks=self._recovers_connections)
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
             self._expiry_timer = None
         self.connections[connection.cid] = connection
-        if self.ends_when_idle:
-            connection.close()
+
+    @property
+    def _recovers_connections(self) -> bool:
+        """Whether the tasks of an ended connection may be reassigned (RFC 7143, section 7.4)."""
+        return self.agreed.recovery_level >= 2 and not self.discovery
 
     def connection_lost(self, connection: Connection) -> None:
-        """Removes a connection that has been closed or lost.
+        """Removes a connection that has ended without a logout.
 
         At recovery level 2 its tasks wait to be reassigned, for DefaultTime2Wait plus DefaultTime2Retain
-        seconds, and a session without connections ends after that time, or at once if DefaultTime2Retain is
-        0. At lower levels the tasks are aborted; the session ends unless this side closed the connection and
-        another one is left. A discovery session ends at once.
+        seconds. At lower levels, and in a discovery session, the session ends (RFC 7143, section 7.1.4).
 
         Args:
-            connection: The connection; nothing changes if another one has taken its CID.
+            connection: The connection; nothing changes if it has been logged out.
         """
+        if not self._remove_connection(connection):
+            return
+        if not self._recovers_connections:
+            self.end()
+            return
+        self._orphan_tasks(connection)
+        self._end_or_expire_without_connections()
+
+    def _log_out_connection(self, connection: Connection, keeps_tasks: bool) -> None:
+        """Closes and removes a connection that has been logged out, explicitly or by its replacement.
+
+        Args:
+            connection: The connection.
+            keeps_tasks: Whether its tasks wait to be reassigned; otherwise they are aborted.
+        """
+        connection.close()
+        if not self._remove_connection(connection):
+            return
+        if keeps_tasks:
+            self._orphan_tasks(connection)
+            return
+        for task in self._tasks_of(connection):
+            self.abort(task)
+
+    def _remove_connection(self, connection: Connection) -> bool:
+        """Removes a connection from the session; returns False if it has been removed already."""
         self._partial_text_requests.pop(connection, None)
         if self.connections.get(connection.cid) is not connection:
-            return
+            return False
         del self.connections[connection.cid]
-        if self.ended:
+        return True
+
+    def _tasks_of(self, connection: Connection) -> list[Task]:
+        """Returns the tasks that are allegiant to a connection."""
+        return [task for task in self.tasks.values() if task.connection is connection]
+
+    def _orphan_tasks(self, connection: Connection) -> None:
+        """Lets the tasks of an ended connection wait to be reassigned, for a limited time."""
+        orphans = self._tasks_of(connection)
+        self.front.counters["tasks.orphaned"] += len(orphans)
+        for task in orphans:
+            task.connection = None
+        self.loop.call_later(self._retention_s, self._abort_unreassigned, orphans)
+
+    @property
+    def _retention_s(self) -> int:
+        """Seconds from the end of a connection until its tasks can no longer be reassigned."""
+        return self.agreed.time2wait + self.agreed.time2retain
+
+    def _end_or_expire_without_connections(self) -> None:
+        """Ends a session without connections, at level 2 only once its tasks can no longer be reassigned."""
+        if self.connections:
             return
-        if self.discovery or (self.agreed.recovery_level < 2 and not connection.closed):
+        if not self._recovers_connections or not self.agreed.time2retain:
             self.end()
-            return
-        orphans = [task for task in self.tasks.values() if task.connection is connection]
-        if self.agreed.recovery_level < 2:  # after a logout
-            for task in orphans:
-                self.abort(task)
         else:
-            self.front.counters["tasks.orphaned"] += len(orphans)
-            for task in orphans:
-                task.connection = None
-            expiry_delay_s = self.agreed.time2wait + self.agreed.time2retain
-            self.loop.call_later(expiry_delay_s, self._abort_unreassigned, orphans)
-        if not self.connections:
-            if self.agreed.recovery_level < 2 or not self.agreed.time2retain:
-                self.end()
-            else:
-                expiry_delay_s = self.agreed.time2wait + self.agreed.time2retain
-                self._expiry_timer = self.loop.call_later(expiry_delay_s, self.end)
+            self._expiry_timer = self.loop.call_later(self._retention_s, self.end)
 
     def _abort_unreassigned(self, orphans: list[Task]) -> None:
         """Aborts the tasks that were not reassigned in time (DefaultTime2Retain; RFC 7143, section 13.16)."""
@@ -444,11 +485,8 @@
             return False
         if logged_out is None:
             return True
-        if reason == 1:
-            for task in [task for task in self.tasks.values() if task.connection is logged_out]:
-                self.abort(task)
-        logged_out.close()
-        self.connection_lost(logged_out)
+        self._log_out_connection(logged_out, keeps_tasks=reason == 2)
+        self._end_or_expire_without_connections()
         return logged_out is not connection
 
     # Task management
