Bind held PDUs to the allegiance of their connection, which ends in one place

What callers saw: at recovery level 2 with two connections, a command that waited for an earlier CmdSN as its connection was reset ran once and was never answered; TASK REASSIGN got response 3, task still allegiant, until Time2Wait and Time2Retain were over.

Cause: the loss of a connection told the tasks and not the PDUs in the command window. When its turn came, such a PDU became a task of the closed connection, which is not None.

Change: tasks and held PDUs refer to an Allegiance (RFC 7143, 4.2.5.1) in place of the connection. When the connection ends, the allegiance loses it, once, and so does all that it binds, also a task that is made later. The allegiance to a lost connection is kept by its CID until its logout, its replacement or its expiry, so that a logout for recovery finds it. A logout or replacement discards the PDUs that are held on its connection (11.14), which the initiator sends again; before, they ran without an answer.

PDUs leave the command window one at a time, so that what the delivery of one discards is neither delivered nor acknowledged: a command behind a logout in one batch was run after it. A held PDU that breaks the protocol ends its own connection, not the one whose PDU released it. A PDU that was read while its connection was logged out is dropped. New counter connections.lost.

Tests changed: CommandWindow.receive no longer returns what is in order; its two tests take it with take_next and assert the same. test_reassignment makes an Allegiance in place of a bare connection; its assertions are the same.

--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -100,7 +100,8 @@
         self._check_reading()
         self._check_liveness()
         try:
-            while not self.closed and session.receive(self, await self._next_pdu(session)):
+            while not self.closed:
+                session.receive(self, await self._next_pdu(session))
                 await self.writer.drain()
         except HeaderDigestError:
             self.front.counters["digests.header"] += 1
@@ -108,9 +109,7 @@
                 "PDU header digest mismatch, closing connection", extra={"peer": self.peer, "cid": self.cid}
             )
         except PduError as error:
-            self.front.counters["pdus.rejected"] += 1
-            log.warning("PDU rejected, closing connection", extra={"peer": self.peer, "error": str(error)})
-            self.reject(error.pdu, error.reason)
+            self.end_for_protocol_error(error)
         await self.writer.drain()
 
     async def _next_pdu(self, session: Session) -> Pdu:
@@ -231,6 +230,19 @@
         self.front.counters[f"rejects.{reason:#04x}"] += 1
         self.send(Pdu(Op.REJECT, byte2=reason, data=pdu.encode()[:48] if pdu else b""), status=True)
 
+    def end_for_protocol_error(self, error: PduError) -> None:
+        """Answers a PDU that breaks the protocol with a Reject and ends the connection without a logout.
+
+        Args:
+            error: The violation.
+        """
+        self.front.counters["pdus.rejected"] += 1
+        log.warning("PDU rejected, closing connection", extra={"peer": self.peer, "error": str(error)})
+        self.reject(error.pdu, error.reason)
+        if self.session is not None:
+            self.session.connection_lost(self)
+        self.close()
+
     # Liveness and closing
 
     def _check_liveness(self) -> None:
--- a/lemonridge/iscsi/numbers.py
+++ b/lemonridge/iscsi/numbers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Generic, TypeVar
@@ -29,7 +30,7 @@
 class ArrivalResult(Enum):
     """How the window treats a received command number."""
 
-    NEXT = "next"  # new: delivered at once, or kept until all earlier commands were received
+    NEXT = "next"  # new: delivered once all earlier commands have been
     REPEATED = "repeated"  # received before
     OUTSIDE = "outside"  # beyond the window; the command is ignored (RFC 7143, 4.2.2.1)
 
@@ -41,7 +42,7 @@
     Attributes:
         exp_cmd_sn: ExpCmdSN, the number of the next command to deliver.
         size: Maximum number of commands from ExpCmdSN on that are accepted.
-        pending: Commands received out of order, by CmdSN.
+        pending: Commands received and not delivered, by CmdSN.
         max_cmd_sn: MaxCmdSN as last advertised, which never decreases (RFC 7143, 4.2.2.1); -1 before the
             first advertisement.
     """
@@ -63,27 +64,43 @@
             self.max_cmd_sn = candidate
         return self.max_cmd_sn
 
-    def receive(self, number: int, item: T) -> tuple[ArrivalResult, list[T]]:
-        """Receives a non-immediate command.
+    def receive(self, number: int, item: T) -> ArrivalResult:
+        """Receives a non-immediate command, which `take_next` delivers in its turn.
 
         Args:
             number: CmdSN of the command.
             item: The command.
 
         Returns:
-            How the window treats the number, and the commands that are now in order, for delivery.
+            How the window treats the number.
         """
         ahead = serial_distance(number, self.exp_cmd_sn)
         if ahead < 0 or number in self.pending:
-            return ArrivalResult.REPEATED, []
+            return ArrivalResult.REPEATED
         if ahead >= self.size or (self.max_cmd_sn >= 0 and serial_distance(number, self.max_cmd_sn) > 0):
-            return ArrivalResult.OUTSIDE, []
+            return ArrivalResult.OUTSIDE
         self.pending[number] = item
-        ready: list[T] = []
-        while self.exp_cmd_sn in self.pending:
-            ready.append(self.pending.pop(self.exp_cmd_sn))
-            self.exp_cmd_sn = (self.exp_cmd_sn + 1) % SERIAL_MODULUS
-        return ArrivalResult.NEXT, ready
+        return ArrivalResult.NEXT
+
+    def take_next(self) -> T | None:
+        """Returns the next command in order, which is acknowledged thereby; None if it has not been received.
+
+        Commands are taken one at a time: what the delivery of one discards is neither delivered nor
+        acknowledged.
+        """
+        if self.exp_cmd_sn not in self.pending:
+            return None
+        item = self.pending.pop(self.exp_cmd_sn)
+        self.exp_cmd_sn = (self.exp_cmd_sn + 1) % SERIAL_MODULUS
+        return item
+
+    def discard(self, is_discarded: Callable[[T], bool]) -> None:
+        """Forgets received commands that have not been delivered, which may then be received again.
+
+        Args:
+            is_discarded: Returns whether a command is to be forgotten.
+        """
+        self.pending = {number: item for number, item in self.pending.items() if not is_discarded(item)}
 
 
 @dataclass(slots=True)
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -152,7 +152,7 @@
             session.initiator,
             session.target,
             session.agreed,
-            frozenset(session.connections),
+            frozenset(connection.cid for connection in session.connections),
             session.discovery,
         )
 
--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -13,6 +13,7 @@
 
 from lemonridge.core.memory_budget import Reservation
 from lemonridge.iscsi import scsi
+from lemonridge.iscsi.allegiance import Allegiance
 from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS
 from lemonridge.iscsi.keys import NegotiatedParameters
 from lemonridge.iscsi.mapped import make_request, reply_from_answer, request_class_of
@@ -46,14 +47,15 @@
 
     # Receiving commands
 
-    def receive_command(self, connection: Connection, pdu: Pdu) -> None:
+    def receive_command(self, allegiance: Allegiance, pdu: Pdu) -> None:
         """Responds to commands that the broker handles itself; starts a task for every other command.
 
         A command that arrives while the session is ending is answered with BUSY, and one whose transfer
         length exceeds the free part of `buffer_bytes` with TASK SET FULL.
 
         Args:
-            connection: The connection that received the command, and that its response is sent on.
+            allegiance: The allegiance to the connection that received the command, which may have ended while
+                the command was held for an earlier CmdSN; its reply is then kept.
             pdu: The SCSI Command PDU.
 
         Raises:
@@ -77,7 +79,7 @@
         ):
             raise PduError(PduError.PROTOCOL, "immediate data was not negotiated or is too long", pdu)
         command = scsi.Command(-1 if lun is None else lun, pdu.cdb, reads, writes, length)
-        task = Task(pdu, command, front.clock.now_us(), connection)
+        task = Task(pdu, command, front.clock.now_us(), allegiance)
         front.counters["commands.taken"] += 1
         reply = front.answer_locally(session, command)
         if reply is None and session.ends_when_idle:
@@ -419,13 +421,13 @@
         """
         return replace(connection.agreed, send_segment=segment_bytes)
 
-    def reassign(self, connection: Connection, pdu: Pdu) -> int:
+    def reassign(self, allegiance: Allegiance, pdu: Pdu) -> int:
         """Reassigns a task whose connection was lost to another connection (RFC 7143, sections 7.4 and 11.5).
 
         The command is not executed again: it kept running without a connection, and its reply was kept.
 
         Args:
-            connection: The connection that received the request, which becomes the task's connection.
+            allegiance: The allegiance to the connection that received the request, which the task gets.
             pdu: The TASK REASSIGN request.
 
         Returns:
@@ -440,23 +442,24 @@
         if task.connection is not None:
             return 3
         self._front.counters["tasks.reassigned"] += 1
-        task.connection = connection
+        task.allegiance = allegiance
         # The task management response is sent before anything else of the task on the new connection.
         has_reply = task.reply is not None
-        self._front.loop.call_soon(self._resume, task, connection, pdu.words[4], has_reply)
+        self._front.loop.call_soon(self._resume, task, allegiance, pdu.words[4], has_reply)
         return 0
 
-    def _resume(self, task: Task, connection: Connection, exp_data_sn: int, has_reply: bool) -> None:
+    def _resume(self, task: Task, allegiance: Allegiance, exp_data_sn: int, has_reply: bool) -> None:
         """Continues a reassigned task on its new connection.
 
         Args:
             task: The task.
-            connection: The connection that it was reassigned to.
+            allegiance: The allegiance that it was reassigned to.
             exp_data_sn: The first DataSN that the initiator has not received.
             has_reply: Whether the task had its reply when it was reassigned. That reply is sent here;
                 `respond` has sent a reply that came after the reassignment.
         """
-        if task.connection is not connection or connection.closed:
+        connection = allegiance.connection
+        if task.allegiance is not allegiance or connection is None:
             return
         if has_reply:
             first_data_sn = 0
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -10,6 +10,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from lemonridge.iscsi.allegiance import Allegiance, ReceivedPdu
 from lemonridge.iscsi.connection import Connection
 from lemonridge.iscsi.device import Nexus
 from lemonridge.iscsi.keys import NegotiationError, Responder, parse_text
@@ -26,6 +27,9 @@
 
 TEXT_MAX_BYTES = 16 * 1024  # of the request of one text exchange
 ACCEPTED_OPCODES = frozenset((Op.NOP_OUT, Op.SCSI_COMMAND, Op.TASK_MANAGEMENT, Op.TEXT, Op.LOGOUT))
+# Logout reason and response codes (RFC 7143, sections 11.14.1 and 11.15.1)
+CLOSE_SESSION, CLOSE_CONNECTION, REMOVE_FOR_RECOVERY = range(3)
+LOGOUT_DONE, CID_NOT_FOUND, RECOVERY_NOT_SUPPORTED = range(3)
 # Task management function and response codes (RFC 7143, sections 11.5.1 and 11.6.1)
 (
     ABORT_TASK,
@@ -46,8 +50,6 @@
     FUNCTION_NOT_SUPPORTED,
 ) = range(6)
 
-ReceivedPdu = tuple[Connection, Pdu]
-
 
 class SessionEndedError(ConnectionError):
     """A connection cannot be added to a session that has ended or is about to end."""
@@ -71,7 +73,8 @@
         discovery: Whether this is a discovery session.
         agreed: The parameters negotiated for the session.
         window: The command window, which puts the received PDUs in the order of CmdSN.
-        connections: The connections, by CID.
+        allegiances: The allegiances, by CID, to the connections that have not been logged out. At recovery
+            level 2 those to lost connections are among them, until their tasks can no longer be reassigned.
         tasks: The tasks, by task tag, until their status is sent or, where the recovery level allows a SNACK,
             acknowledged.
         nexus: The I_T nexus, with its pending unit attentions.
@@ -85,13 +88,13 @@
         self.initiator, self.target, self.isid = login.initiator, login.target, login.isid
         self.tsih, self.discovery, self.agreed = login.tsih, login.discovery, login.parameters
         self.window: CommandWindow[ReceivedPdu] = CommandWindow(exp_cmd_sn, front.config.queue_depth)
-        self.connections: dict[int, Connection] = {}
+        self.allegiances: dict[int, Allegiance] = {}
         self.tasks: dict[int, Task] = {}
         self.nexus = Nexus(self.initiator + "," + self.isid.hex(), front.device)
         self.runner = TaskRunner(self)
         self.ended = self.ends_when_idle = False
         self._unsent_text: dict[int, bytes] = {}  # the rest of a long answer, by transfer tag
-        self._partial_text_requests: dict[Connection, bytes] = {}  # the text received so far
+        self._partial_text_requests: dict[Allegiance, bytes] = {}  # the text received so far
         self._last_transfer_tag = 0
         self._expiry_timer: asyncio.TimerHandle | None = None
 
@@ -110,14 +113,28 @@
         """
         if self.ended or self.ends_when_idle:
             raise SessionEndedError
-        previous = self.connections.get(connection.cid)
+        previous = self.allegiances.get(connection.cid)
         if previous is not None:
             self.front.counters["connections.reinstated"] += 1
-            self._log_out_connection(previous, keeps_tasks=self._recovers_connections)
+            self._log_out(previous, keeps_tasks=self._recovers_connections)
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
             self._expiry_timer = None
-        self.connections[connection.cid] = connection
+        self.allegiances[connection.cid] = Allegiance(connection.cid, connection)
+
+    @property
+    def connections(self) -> list[Connection]:
+        """The connections that are logged in."""
+        return [
+            allegiance.connection
+            for allegiance in self.allegiances.values()
+            if allegiance.connection is not None
+        ]
+
+    def _allegiance_to(self, connection: Connection) -> Allegiance | None:
+        """Returns the allegiance to a connection; None if the session has no such connection any more."""
+        allegiance = self.allegiances.get(connection.cid)
+        return allegiance if allegiance is not None and allegiance.connection is connection else None
 
     @property
     def _recovers_connections(self) -> bool:
@@ -125,57 +142,66 @@
         return self.agreed.recovery_level >= 2 and not self.discovery
 
     def connection_lost(self, connection: Connection) -> None:
-        """Removes a connection that has ended without a logout.
+        """Ends the allegiance to a connection that has ended without a logout.
 
         At recovery level 2 its tasks wait to be reassigned, for DefaultTime2Wait plus DefaultTime2Retain
-        seconds. At lower levels, and in a discovery session, the session ends (RFC 7143, section 7.1.4).
+        seconds, and PDUs that are held for an earlier CmdSN become such tasks in their turn. At lower levels,
+        and in a discovery session, the session ends (RFC 7143, section 7.1.4).
 
         Args:
             connection: The connection; nothing changes if it has been logged out.
         """
-        if not self._remove_connection(connection):
+        allegiance = self._allegiance_to(connection)
+        if allegiance is None:
             return
+        self.front.counters["connections.lost"] += 1
         if not self._recovers_connections:
             self.end()
             return
-        self._orphan_tasks(connection)
+        self._end_allegiance(allegiance)
+        self._retain_tasks(allegiance)
         self._end_or_expire_without_connections()
 
-    def _log_out_connection(self, connection: Connection, keeps_tasks: bool) -> None:
-        """Closes and removes a connection that has been logged out, explicitly or by its replacement.
+    def _end_allegiance(self, allegiance: Allegiance) -> None:
+        """Leaves all that is bound by an allegiance without a connection."""
+        allegiance.connection = None
+        self._partial_text_requests.pop(allegiance, None)
+
+    def _log_out(self, allegiance: Allegiance, keeps_tasks: bool) -> None:
+        """Removes a connection that has been logged out, explicitly or by its replacement, and closes it.
+
+        PDUs that it received and that are held for an earlier CmdSN are discarded; their initiator sends them
+        again on another connection (RFC 7143, section 11.14).
 
         Args:
-            connection: The connection.
+            allegiance: The allegiance to the connection, which may have been lost before.
             keeps_tasks: Whether its tasks wait to be reassigned; otherwise they are aborted.
         """
-        connection.close()
-        if not self._remove_connection(connection):
-            return
-        if keeps_tasks:
-            self._orphan_tasks(connection)
-            return
-        for task in self._tasks_of(connection):
-            self.abort(task)
+        del self.allegiances[allegiance.cid]
+        self._discard_held_pdus(allegiance)
+        connection = allegiance.connection
+        self._end_allegiance(allegiance)
+        if connection is not None:
+            connection.close()
+            if keeps_tasks:
+                self._retain_tasks(allegiance)
+        if not keeps_tasks:
+            for task in self._tasks_of(allegiance):
+                self.abort(task)
 
-    def _remove_connection(self, connection: Connection) -> bool:
-        """Removes a connection from the session; returns False if it has been removed already."""
-        self._partial_text_requests.pop(connection, None)
-        if self.connections.get(connection.cid) is not connection:
-            return False
-        del self.connections[connection.cid]
-        return True
+    def _discard_held_pdus(self, allegiance: Allegiance) -> None:
+        """Discards the PDUs that are held for an earlier CmdSN and bound by an allegiance."""
+        self.window.discard(lambda received: received.allegiance is allegiance)
 
-    def _tasks_of(self, connection: Connection) -> list[Task]:
-        """Returns the tasks that are allegiant to a connection."""
-        return [task for task in self.tasks.values() if task.connection is connection]
+    def _tasks_of(self, allegiance: Allegiance) -> list[Task]:
+        """Returns the tasks that are bound by an allegiance."""
+        return [task for task in self.tasks.values() if task.allegiance is allegiance]
 
-    def _orphan_tasks(self, connection: Connection) -> None:
+    def _retain_tasks(self, allegiance: Allegiance) -> None:
         """Lets the tasks of an ended connection wait to be reassigned, for a limited time."""
-        orphans = self._tasks_of(connection)
+        orphans = self._tasks_of(allegiance)
         self.front.counters["tasks.orphaned"] += len(orphans)
-        for task in orphans:
-            task.connection = None
-        self.loop.call_later(self._retention_s, self._abort_unreassigned, orphans)
+        self.loop.call_later(self._retention_s, self._abort_unreassigned, allegiance, orphans)
 
     @property
     def _retention_s(self) -> int:
@@ -191,9 +217,12 @@
         else:
             self._expiry_timer = self.loop.call_later(self._retention_s, self.end)
 
-    def _abort_unreassigned(self, orphans: list[Task]) -> None:
+    def _abort_unreassigned(self, allegiance: Allegiance, orphans: list[Task]) -> None:
         """Aborts the tasks that were not reassigned in time (DefaultTime2Retain; RFC 7143, section 13.16)."""
-        for task in orphans:
+        if self.allegiances.get(allegiance.cid) is allegiance:
+            del self.allegiances[allegiance.cid]
+            self._discard_held_pdus(allegiance)
+        for task in {*orphans, *self._tasks_of(allegiance)}:
             if task.connection is None and self.tasks.get(task.tag) is task:
                 self.front.counters["tasks.expired"] += 1
                 self.abort(task)
@@ -205,11 +234,10 @@
         self.ended = True
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
+        for allegiance in list(self.allegiances.values()):
+            self._log_out(allegiance, keeps_tasks=False)
         for task in list(self.tasks.values()):
             self.abort(task)
-        for connection in list(self.connections.values()):
-            connection.close()
-        self.connections.clear()
         self.nexus.close()
         self.front.remove_session(self)
 
@@ -218,7 +246,7 @@
 
         The message carries AsyncEvent 1 (RFC 7143, section 11.9.1).
         """
-        for connection in self.connections.values():
+        for connection in self.connections:
             connection.send(Pdu(Op.ASYNC, words=[0, 0, 0, 0, 1 << 24, 1, 0]), status=True)
 
     def end_when_idle(self) -> None:
@@ -244,9 +272,7 @@
         that can still be kept.
         """
         occupied = sum(task.status is None for task in self.tasks.values())
-        kept_statuses = sum(
-            connection.statuses.unacknowledged_count for connection in self.connections.values()
-        )
+        kept_statuses = sum(connection.statuses.unacknowledged_count for connection in self.connections)
         spare_statuses = max(0, self.front.config.max_unacknowledged_statuses - kept_statuses)
         occupied = (
             max(occupied, self.window.size - spare_statuses)
@@ -257,54 +283,65 @@
 
     # Receiving PDUs
 
-    def receive(self, connection: Connection, pdu: Pdu) -> bool:
+    def receive(self, connection: Connection, pdu: Pdu) -> None:
         """Processes a received PDU.
 
         PDUs with a CmdSN are processed in the order of their numbers. One that arrives early is held until
-        the earlier ones have arrived, on whichever connection.
+        the earlier ones have arrived, on whichever connection. A PDU of a connection that has been logged out
+        while the PDU was read is dropped.
 
         Args:
             connection: The connection that received the PDU.
             pdu: The PDU.
 
-        Returns:
-            Whether the connection stays open.
-
         Raises:
-            PduError: The PDU, or a held one that is now in order, breaks the protocol.
+            PduError: The PDU breaks the protocol.
         """
+        allegiance = self._allegiance_to(connection)
+        if allegiance is None:
+            return
         if pdu.opcode != Op.DATA_OUT or connection.agreed.recovery_level:
             self._acknowledge(connection, pdu)
         if pdu.opcode == Op.DATA_OUT:
             self.runner.receive_data_out(connection, pdu)
-            return True
+            return
         if pdu.opcode == Op.SNACK:
             self.runner.handle_snack(connection, pdu)
-            return True
+            return
         if pdu.opcode not in ACCEPTED_OPCODES:
             raise PduError(PduError.UNSUPPORTED, f"opcode {pdu.opcode:#04x}", pdu)
         if pdu.immediate:
             open_tasks = sum(task.status is None for task in self.tasks.values())
             if pdu.opcode == Op.SCSI_COMMAND and open_tasks >= self.window.size * 2:
                 connection.reject(pdu, PduError.TOO_MANY)
-                return True
-            return self._dispatch(connection, pdu)
+                return
+            self._dispatch(ReceivedPdu(allegiance, pdu))
+            return
         self.command_numbers()  # updates MaxCmdSN in the window, which bounds the accepted CmdSN
-        arrival, ready = self.window.receive(pdu.words[1], (connection, pdu))
+        arrival = self.window.receive(pdu.words[1], ReceivedPdu(allegiance, pdu))
         if arrival is ArrivalResult.REPEATED and connection.agreed.recovery_level:
             self._resend_status(connection, pdu)
         if (
             arrival is ArrivalResult.NEXT
-            and not ready
+            and self.window.exp_cmd_sn != pdu.words[1]
             and len(self.connections) == 1
             and not self.agreed.recovery_level
         ):
             # A single connection at level 0 delivers in order, so the missing command will never arrive.
             raise PduError(PduError.PROTOCOL, "gap in CmdSN on a single connection", pdu)
-        stays_open = True
-        for origin, ready_pdu in ready:
-            stays_open = self._dispatch(origin, ready_pdu) and stays_open
-        return stays_open
+        self._dispatch_in_order()
+
+    def _dispatch_in_order(self) -> None:
+        """Processes the received PDUs that are next in the order of CmdSN.
+
+        One that breaks the protocol ends the connection that received it.
+        """
+        while (received := self.window.take_next()) is not None:
+            try:
+                self._dispatch(received)
+            except PduError as error:
+                if received.allegiance.connection is not None:
+                    received.allegiance.connection.end_for_protocol_error(error)
 
     def _acknowledge(self, connection: Connection, pdu: Pdu) -> None:
         """Releases the tasks whose status is acknowledged by the ExpStatSN of a PDU."""
@@ -334,25 +371,27 @@
         if pdu.opcode == Op.DATA_OUT:
             self.runner.request_missing_data(pdu.tag)
 
-    def _dispatch(self, connection: Connection, pdu: Pdu) -> bool:
+    def _dispatch(self, received: ReceivedPdu) -> None:
         """Processes a PDU that is immediate or next in the order of CmdSN.
 
-        Returns:
-            Whether its connection stays open.
+        A PDU whose connection was lost while it was held is executed, but its answer is not sent.
         """
-        if pdu.opcode == Op.NOP_OUT:
-            self._receive_nop_out(connection, pdu)
-        elif pdu.opcode == Op.TEXT:
-            self._receive_text(connection, pdu)
-        elif pdu.opcode == Op.LOGOUT:
-            return self._receive_logout(connection, pdu)
+        allegiance, pdu = received.allegiance, received.pdu
+        if pdu.opcode == Op.LOGOUT:
+            self._receive_logout(allegiance, pdu)
+        elif pdu.opcode in (Op.NOP_OUT, Op.TEXT):
+            if allegiance.connection is None:
+                return
+            if pdu.opcode == Op.NOP_OUT:
+                self._receive_nop_out(allegiance.connection, pdu)
+            else:
+                self._receive_text(allegiance, allegiance.connection, pdu)
         elif self.discovery:
             raise PduError(PduError.PROTOCOL, "SCSI command or task management in a discovery session", pdu)
         elif pdu.opcode == Op.TASK_MANAGEMENT:
-            self._manage_tasks(connection, pdu)
+            self._manage_tasks(allegiance, pdu)
         else:
-            self.runner.receive_command(connection, pdu)
-        return True
+            self.runner.receive_command(allegiance, pdu)
 
     def _receive_nop_out(self, connection: Connection, pdu: Pdu) -> None:
         """Records the answer to a ping of the target, or answers a ping of the initiator."""
@@ -365,7 +404,7 @@
 
     # Text and logout
 
-    def _receive_text(self, connection: Connection, pdu: Pdu) -> None:
+    def _receive_text(self, allegiance: Allegiance, connection: Connection, pdu: Pdu) -> None:
         """Answers a text request (RFC 7143, sections 11.10 and 11.11).
 
         A request, and its answer, may be split over several PDUs.
@@ -376,11 +415,11 @@
                 raise PduError(PduError.PROTOCOL, "unknown target transfer tag in a text request", pdu)
             self._send_text(connection, pdu, rest)
             return
-        text = self._partial_text_requests.pop(connection, b"") + pdu.data
+        text = self._partial_text_requests.pop(allegiance, b"") + pdu.data
         if len(text) > TEXT_MAX_BYTES:
             raise PduError(PduError.PROTOCOL, "text request is too long", pdu)
         if pdu.flags & CONTINUE:
-            self._partial_text_requests[connection] = text
+            self._partial_text_requests[allegiance] = text
             connection.send(
                 Pdu(
                     Op.TEXT_RESPONSE,
@@ -454,44 +493,37 @@
                 pairs += [("TargetName", rule.name), ("TargetAddress", f"{host}:{port},1")]
         return pairs
 
-    def _receive_logout(self, connection: Connection, pdu: Pdu) -> bool:
+    def _receive_logout(self, allegiance: Allegiance, pdu: Pdu) -> None:
         """Executes a logout request and sends its response (RFC 7143, sections 11.14 and 11.15).
 
-        Reason code 0 closes the session, 1 closes a connection, and 2 removes a connection for recovery.
-
-        Returns:
-            Whether the connection that received the logout stays open.
+        A connection that was lost can be logged out too, from another connection of the session.
         """
         reason, cid = pdu.flags & 0x7F, pdu.words[0] >> 16
+        if reason > REMOVE_FOR_RECOVERY:
+            if allegiance.connection is not None:
+                allegiance.connection.reject(pdu, PduError.FIELD)
+            return
         times = self.agreed.time2wait << 16 | self.agreed.time2retain
-        logged_out = connection if reason == 0 else self.connections.get(cid)
-        response = 0
-        if reason > 2:
-            connection.reject(pdu, PduError.FIELD)
-            return True
-        if reason == 2 and self.agreed.recovery_level < 2:
-            response = 2  # connection recovery is not supported
-        elif logged_out is None and not (
-            reason == 2 and any(task.connection is None for task in self.tasks.values())
-        ):
-            response = 1  # CID not found
-        connection.send(
+        logged_out = self.allegiances.get(cid)
+        response = LOGOUT_DONE
+        if reason == REMOVE_FOR_RECOVERY and not self._recovers_connections:
+            response = RECOVERY_NOT_SUPPORTED
+        elif reason != CLOSE_SESSION and logged_out is None:
+            response = CID_NOT_FOUND
+        allegiance.send(
             Pdu(Op.LOGOUT_RESPONSE, byte2=response, tag=pdu.tag, words=[0, 0, 0, 0, 0, times, 0]), status=True
         )
-        if response:
-            return True
-        if reason == 0:
+        if response != LOGOUT_DONE:
+            return
+        if reason == CLOSE_SESSION:
             self.end()
-            return False
-        if logged_out is None:
-            return True
-        self._log_out_connection(logged_out, keeps_tasks=reason == 2)
-        self._end_or_expire_without_connections()
-        return logged_out is not connection
+        elif logged_out is not None:
+            self._log_out(logged_out, keeps_tasks=reason == REMOVE_FOR_RECOVERY)
+            self._end_or_expire_without_connections()
 
     # Task management
 
-    def _manage_tasks(self, connection: Connection, pdu: Pdu) -> None:
+    def _manage_tasks(self, allegiance: Allegiance, pdu: Pdu) -> None:
         """Executes a task management request and sends its response (RFC 7143, sections 11.5 and 11.6).
 
         An aborted task gets no SCSI Response, and whether its command had an effect is unknown.
@@ -512,7 +544,7 @@
                 task for session in list(self.front.sessions.values()) for task in session.tasks.values()
             ]
         elif function == TASK_REASSIGN:
-            response = self.runner.reassign(connection, pdu)
+            response = self.runner.reassign(allegiance, pdu)
         else:
             response = FUNCTION_NOT_SUPPORTED
         for task in [task for task in tasks_to_abort if task.status is None]:
@@ -530,7 +562,7 @@
                 else [lun or 0]
             )
             self.front.device.report_reset(self.nexus, luns, cleared=function == CLEAR_TASK_SET)
-        connection.send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
+        allegiance.send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
         if function == TARGET_COLD_RESET:
             for session in list(self.front.sessions.values()):
                 session.end()
@@ -551,11 +583,8 @@
         distance = serial_distance(cmd_sn, self.window.exp_cmd_sn)
         if task is None and 0 <= distance < self.window.size and cmd_sn not in self.window.pending:
             placeholder = Pdu(Op.NOP_OUT, tag=RESERVED_TAG, words=[RESERVED_TAG, cmd_sn, 0, 0, 0, 0, 0])
-            if not self.connections:
-                return TASK_DOES_NOT_EXIST, []
-            origin = next(iter(self.connections.values()))
-            for connection, ready_pdu in self.window.receive(cmd_sn, (origin, placeholder))[1]:
-                self._dispatch(connection, ready_pdu)
+            self.window.receive(cmd_sn, ReceivedPdu(Allegiance(0, connection=None), placeholder))
+            self._dispatch_in_order()
             return FUNCTION_COMPLETE, []
         return TASK_DOES_NOT_EXIST, []
 
--- a/lemonridge/iscsi/task.py
+++ b/lemonridge/iscsi/task.py
@@ -8,6 +8,7 @@
 
 from lemonridge.core.memory_budget import Reservation
 from lemonridge.iscsi import scsi
+from lemonridge.iscsi.allegiance import Allegiance
 from lemonridge.iscsi.pdu import Pdu
 from lemonridge.iscsi.transfer import Inbound, Outbound
 
@@ -23,8 +24,7 @@
         pdu: The SCSI Command PDU as received.
         command: The command to execute.
         arrived_us: Arrival time in microseconds of the broker's clock.
-        connection: Connection that the command is allegiant to (RFC 7143, 4.2.5.1); None after that
-            connection was lost.
+        allegiance: The command's allegiance to a connection (RFC 7143, 4.2.5.1).
         inbound: Data of a write that is being received.
         outbound: Data of a read, retained for retransmission.
         reply: Result of the command; None until it is known.
@@ -40,7 +40,7 @@
     pdu: Pdu
     command: scsi.Command
     arrived_us: int
-    connection: Connection | None
+    allegiance: Allegiance
     inbound: Inbound | None = None
     outbound: Outbound | None = None
     reply: scsi.Reply | None = None
@@ -52,6 +52,11 @@
     outstanding_r2ts: int = 0
     last_data_s: float = 0.0
 
+    @property
+    def connection(self) -> Connection | None:
+        """Connection that the command is allegiant to; None after that connection has ended."""
+        return self.allegiance.connection
+
     @property
     def tag(self) -> int:
         """Initiator Task Tag of the command."""
--- a/tests/iscsi/test_protocol_state.py
+++ b/tests/iscsi/test_protocol_state.py
@@ -204,7 +204,8 @@
     for offset in offsets:
         number = (start + offset) % SERIAL_MODULUS
         window.advertise_max_cmd_sn(0)
-        result, ready = window.receive(number, offset)
+        result = window.receive(number, offset)
+        ready = list(iter(window.take_next, None))
         if offset < delivered or offset in received:
             assert result is ArrivalResult.REPEATED
         elif offset >= delivered + size:
@@ -219,11 +220,12 @@
 
 
 def test_max_cmd_sn_never_decreases_and_window_closes_when_all_slots_are_busy() -> None:
-    window: CommandWindow[None] = CommandWindow(5, 4)
+    window: CommandWindow[int] = CommandWindow(5, 4)
     assert window.advertise_max_cmd_sn(0) == 8
     assert window.advertise_max_cmd_sn(3) == 8  # already advertised
     for number in range(5, 9):
-        window.receive(number, None)
+        window.receive(number, number)
+        assert window.take_next() == number
     assert serial_distance(window.advertise_max_cmd_sn(4), window.exp_cmd_sn) == -1
 
 
--- a/tests/iscsi/test_reassignment.py
+++ b/tests/iscsi/test_reassignment.py
@@ -9,6 +9,7 @@
 
 from lemonridge.core.counters import Counters
 from lemonridge.iscsi import scsi
+from lemonridge.iscsi.allegiance import Allegiance
 from lemonridge.iscsi.keys import NegotiatedParameters
 from lemonridge.iscsi.pdu import FINAL, Op, Pdu
 from lemonridge.iscsi.runner import TaskRunner
@@ -22,17 +23,17 @@
         """Returns how many SCSI Responses are sent on the new connection."""
         agreed = NegotiatedParameters(recovery_level=2)
         sent: list[Pdu] = []
-        connection = SimpleNamespace(agreed=agreed, closed=False, send=lambda pdu, **_: sent.append(pdu))
+        connection: Any = SimpleNamespace(agreed=agreed, send=lambda pdu, **_: sent.append(pdu))
         front = SimpleNamespace(loop=asyncio.get_running_loop(), counters=Counters())
         pdu = Pdu(Op.SCSI_COMMAND, FINAL, tag=7)
-        task = Task(pdu, scsi.Command(0, b"", True, False, 512), 0, None)
+        task = Task(pdu, scsi.Command(0, b"", True, False, 512), 0, Allegiance(1, connection=None))
         session: Any = SimpleNamespace(front=front, agreed=agreed, tasks={7: task})
         runner = TaskRunner(session)
         good = scsi.Reply(scsi.Status.GOOD, b"x" * 512)
         if ended_first:
             runner.respond(task, good)
         request = Pdu(Op.TASK_MANAGEMENT, words=[7, 0, 0, 0, 0, 0, 0])
-        self.assertEqual(runner.reassign(connection, request), 0)  # type: ignore[arg-type]
+        self.assertEqual(runner.reassign(Allegiance(2, connection), request), 0)
         if not ended_first:
             runner.respond(task, good)
         await asyncio.sleep(0)
