Keep the tasks of a lost connection by the timer of that loss alone

What callers saw: at recovery level 2 a command that was reassigned and lost its second connection too was aborted by the timer of its first loss: TASK REASSIGN got response 1, task does not exist, 4 s before its time was over, and the command was never answered.

Cause: the timer of a loss had a list of the tasks and aborted those without a connection, for whichever loss.

Change: a timer belongs to an allegiance and aborts the tasks that still have that one; a reassigned task has another. The timer begins anew with the logout for recovery of a lost connection, whose response promises the whole time (RFC 7143, 11.15.3 and 11.15.4), and ends with the session; before, it held an ended session in memory for its time. A session without connections ends with its last timer, so it needs no timer of its own, and a logout of its last connection ends it at once where nothing waits for recovery (6.3.6). At most 16 ended connections of a session wait; past that the earliest one's tasks are aborted.

--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -25,6 +25,7 @@
 
 log = logging.getLogger(__name__)
 
+MAX_RETAINED_CONNECTIONS = 16  # of a session, which have ended and whose tasks may still be reassigned
 TEXT_MAX_BYTES = 16 * 1024  # of the request of one text exchange
 ACCEPTED_OPCODES = frozenset((Op.NOP_OUT, Op.SCSI_COMMAND, Op.TASK_MANAGEMENT, Op.TEXT, Op.LOGOUT))
 # Logout reason and response codes (RFC 7143, sections 11.14.1 and 11.15.1)
@@ -96,7 +97,8 @@
         self._unsent_text: dict[int, bytes] = {}  # the rest of a long answer, by transfer tag
         self._partial_text_requests: dict[Allegiance, bytes] = {}  # the text received so far
         self._last_transfer_tag = 0
-        self._expiry_timer: asyncio.TimerHandle | None = None
+        # of ended connections whose tasks may be reassigned, the earliest expiry first
+        self._retention_timers: dict[Allegiance, asyncio.TimerHandle] = {}
 
     # Connections
 
@@ -117,9 +119,6 @@
         if previous is not None:
             self.front.counters["connections.reinstated"] += 1
             self._log_out(previous, keeps_tasks=self._recovers_connections)
-        if self._expiry_timer is not None:
-            self._expiry_timer.cancel()
-            self._expiry_timer = None
         self.allegiances[connection.cid] = Allegiance(connection.cid, connection)
 
     @property
@@ -159,8 +158,9 @@
             self.end()
             return
         self._end_allegiance(allegiance)
+        self.front.counters["tasks.orphaned"] += len(self._tasks_of(allegiance))
         self._retain_tasks(allegiance)
-        self._end_or_expire_without_connections()
+        self._end_if_nothing_recovers()
 
     def _end_allegiance(self, allegiance: Allegiance) -> None:
         """Leaves all that is bound by an allegiance without a connection."""
@@ -183,11 +183,10 @@
         self._end_allegiance(allegiance)
         if connection is not None:
             connection.close()
-            if keeps_tasks:
-                self._retain_tasks(allegiance)
-        if not keeps_tasks:
-            for task in self._tasks_of(allegiance):
-                self.abort(task)
+        if keeps_tasks:
+            self._retain_tasks(allegiance)
+        else:
+            self._abort_tasks(allegiance)
 
     def _discard_held_pdus(self, allegiance: Allegiance) -> None:
         """Discards the PDUs that are held for an earlier CmdSN and bound by an allegiance."""
@@ -198,44 +197,58 @@
         return [task for task in self.tasks.values() if task.allegiance is allegiance]
 
     def _retain_tasks(self, allegiance: Allegiance) -> None:
-        """Lets the tasks of an ended connection wait to be reassigned, for a limited time."""
-        orphans = self._tasks_of(allegiance)
-        self.front.counters["tasks.orphaned"] += len(orphans)
-        self.loop.call_later(self._retention_s, self._abort_unreassigned, allegiance, orphans)
+        """Lets the tasks of an ended connection wait to be reassigned, for a limited time.
 
-    @property
-    def _retention_s(self) -> int:
-        """Seconds from the end of a connection until its tasks can no longer be reassigned."""
-        return self.agreed.time2wait + self.agreed.time2retain
+        The time is DefaultTime2Wait plus DefaultTime2Retain. It begins anew with the logout of a connection
+        that was lost, whose response promises it (RFC 7143, sections 11.15.3, 11.15.4 and 13.16).
+        """
+        self._stop_retaining(allegiance)
+        if len(self._retention_timers) >= MAX_RETAINED_CONNECTIONS:
+            self._expire(next(iter(self._retention_timers)))
+        retention_s = self.agreed.time2wait + self.agreed.time2retain
+        self._retention_timers[allegiance] = self.loop.call_later(retention_s, self._expire, allegiance)
+
+    def _stop_retaining(self, allegiance: Allegiance) -> None:
+        """Stops the timer of an ended connection, if it has one."""
+        timer = self._retention_timers.pop(allegiance, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _expire(self, allegiance: Allegiance) -> None:
+        """Aborts the tasks of an ended connection that were not reassigned in time, and forgets its CID.
+
+        A task that was reassigned has another allegiance, and is not among them. A session without
+        connections ends when there is nothing left that could be recovered.
+        """
+        self.front.counters["tasks.expired"] += len(self._tasks_of(allegiance))
+        if self.allegiances.get(allegiance.cid) is allegiance:
+            self._log_out(allegiance, keeps_tasks=False)
+        else:  # logged out before
+            self._abort_tasks(allegiance)
+        self._end_if_nothing_recovers()
+
+    def _abort_tasks(self, allegiance: Allegiance) -> None:
+        """Aborts the tasks of a connection that has ended for good."""
+        self._stop_retaining(allegiance)
+        for task in self._tasks_of(allegiance):
+            self.abort(task)
 
-    def _end_or_expire_without_connections(self) -> None:
-        """Ends a session without connections, at level 2 only once its tasks can no longer be reassigned."""
+    def _end_if_nothing_recovers(self) -> None:
+        """Ends a session without connections, at level 2 once no task can be reassigned any more."""
         if self.connections:
             return
-        if not self._recovers_connections or not self.agreed.time2retain:
+        if not self._recovers_connections or not self.agreed.time2retain or not self._retention_timers:
             self.end()
-        else:
-            self._expiry_timer = self.loop.call_later(self._retention_s, self.end)
-
-    def _abort_unreassigned(self, allegiance: Allegiance, orphans: list[Task]) -> None:
-        """Aborts the tasks that were not reassigned in time (DefaultTime2Retain; RFC 7143, section 13.16)."""
-        if self.allegiances.get(allegiance.cid) is allegiance:
-            del self.allegiances[allegiance.cid]
-            self._discard_held_pdus(allegiance)
-        for task in {*orphans, *self._tasks_of(allegiance)}:
-            if task.connection is None and self.tasks.get(task.tag) is task:
-                self.front.counters["tasks.expired"] += 1
-                self.abort(task)
 
     def end(self) -> None:
         """Ends the session: aborts its tasks and closes its connections. A second call has no effect."""
         if self.ended:
             return
         self.ended = True
-        if self._expiry_timer is not None:
-            self._expiry_timer.cancel()
         for allegiance in list(self.allegiances.values()):
             self._log_out(allegiance, keeps_tasks=False)
+        for allegiance in list(self._retention_timers):
+            self._stop_retaining(allegiance)
         for task in list(self.tasks.values()):
             self.abort(task)
         self.nexus.close()
@@ -519,7 +532,7 @@
             self.end()
         elif logged_out is not None:
             self._log_out(logged_out, keeps_tasks=reason == REMOVE_FOR_RECOVERY)
-            self._end_or_expire_without_connections()
+            self._end_if_nothing_recovers()
 
     # Task management
 
