Give each connection its text exchange, which ends with the connection

What callers saw: two connections of a session that had long text answers at the same time: the rest of one took the place of the other's, whose next request was rejected, and below level 2 the session ended. After a connection was replaced the rest of its answer went out on the next one. A text request over several PDUs was rejected if the initiator copied the transfer tag of the target's empty response, as RFC 7143, 11.10.4 has it.

Cause: the rest of an answer was one entry of the session, and nothing removed it at the end of a connection; partial requests stood in a table of the session that a PDU dispatched late could fill again. A tag other than the reserved one always meant the rest of an answer.

Change: iscsi/text_exchange.py, pure, holds both halves, one object a connection, so that they can't outlive it.

--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -20,6 +20,7 @@
     PduError,
     read_pdu,
 )
+from lemonridge.iscsi.text_exchange import TextExchange
 from lemonridge.net.client_output import ClientOutput
 
 if TYPE_CHECKING:
@@ -50,6 +51,7 @@
         agreed: The negotiated parameters; the defaults until the login has succeeded.
         session: The session; None until the login has succeeded.
         statuses: Assigns StatSN, and keeps the PDUs that a Status SNACK may request.
+        text_exchange: The text exchange in full feature phase.
         unanswered_pings: Target transfer tags of the pings that the initiator has not answered.
         last_received_s: When the last valid PDU was received, in seconds of the event loop's clock.
         closed: Whether this side has closed the connection.
@@ -63,6 +65,7 @@
         self.agreed = NegotiatedParameters()
         self.session: Session | None = None
         self.statuses: StatusLog[Pdu] = StatusLog(1, 0)
+        self.text_exchange = TextExchange()
         self.unanswered_pings: set[int] = set()
         self.last_received_s = front.loop.time()
         self.closed = False
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -13,12 +13,13 @@
 from lemonridge.iscsi.allegiance import Allegiance, ReceivedPdu
 from lemonridge.iscsi.connection import Connection
 from lemonridge.iscsi.device import Nexus
-from lemonridge.iscsi.keys import NegotiationError, Responder, parse_text
+from lemonridge.iscsi.keys import NegotiationError, Responder, TextPairs, parse_text
 from lemonridge.iscsi.login import TargetLogin
 from lemonridge.iscsi.numbers import ArrivalResult, CommandWindow, serial_distance
 from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, PduError, pack_text, unpack_lun
 from lemonridge.iscsi.runner import TaskRunner
 from lemonridge.iscsi.task import Task
+from lemonridge.iscsi.text_exchange import TextExchangeError, TextPart
 
 if TYPE_CHECKING:
     from lemonridge.iscsi.portal import IscsiFront
@@ -26,7 +27,6 @@
 log = logging.getLogger(__name__)
 
 MAX_RETAINED_CONNECTIONS = 16  # of a session, which have ended and whose tasks may still be reassigned
-TEXT_MAX_BYTES = 16 * 1024  # of the request of one text exchange
 ACCEPTED_OPCODES = frozenset((Op.NOP_OUT, Op.SCSI_COMMAND, Op.TASK_MANAGEMENT, Op.TEXT, Op.LOGOUT))
 # Logout reason and response codes (RFC 7143, sections 11.14.1 and 11.15.1)
 CLOSE_SESSION, CLOSE_CONNECTION, REMOVE_FOR_RECOVERY = range(3)
@@ -94,9 +94,6 @@
         self.nexus = Nexus(self.initiator + "," + self.isid.hex(), front.device)
         self.runner = TaskRunner(self)
         self.ended = self.ends_when_idle = False
-        self._unsent_text: dict[int, bytes] = {}  # the rest of a long answer, by transfer tag
-        self._partial_text_requests: dict[Allegiance, bytes] = {}  # the text received so far
-        self._last_transfer_tag = 0
         # of ended connections whose tasks may be reassigned, the earliest expiry first
         self._retention_timers: dict[Allegiance, asyncio.TimerHandle] = {}
 
@@ -157,16 +154,11 @@
         if not self._recovers_connections:
             self.end()
             return
-        self._end_allegiance(allegiance)
+        allegiance.connection = None
         self.front.counters["tasks.orphaned"] += len(self._tasks_of(allegiance))
         self._retain_tasks(allegiance)
         self._end_if_nothing_recovers()
 
-    def _end_allegiance(self, allegiance: Allegiance) -> None:
-        """Leaves all that is bound by an allegiance without a connection."""
-        allegiance.connection = None
-        self._partial_text_requests.pop(allegiance, None)
-
     def _log_out(self, allegiance: Allegiance, keeps_tasks: bool) -> None:
         """Removes a connection that has been logged out, explicitly or by its replacement, and closes it.
 
@@ -180,7 +172,7 @@
         del self.allegiances[allegiance.cid]
         self._discard_held_pdus(allegiance)
         connection = allegiance.connection
-        self._end_allegiance(allegiance)
+        allegiance.connection = None
         if connection is not None:
             connection.close()
         if keeps_tasks:
@@ -398,7 +390,7 @@
             if pdu.opcode == Op.NOP_OUT:
                 self._receive_nop_out(allegiance.connection, pdu)
             else:
-                self._receive_text(allegiance, allegiance.connection, pdu)
+                self._receive_text(allegiance.connection, pdu)
         elif self.discovery:
             raise PduError(PduError.PROTOCOL, "SCSI command or task management in a discovery session", pdu)
         elif pdu.opcode == Op.TASK_MANAGEMENT:
@@ -417,38 +409,32 @@
 
     # Text and logout
 
-    def _receive_text(self, allegiance: Allegiance, connection: Connection, pdu: Pdu) -> None:
-        """Answers a text request (RFC 7143, sections 11.10 and 11.11).
+    def _receive_text(self, connection: Connection, pdu: Pdu) -> None:
+        """Answers a text request, or sends the next part of an answer.
 
-        A request, and its answer, may be split over several PDUs.
+        RFC 7143, sections 11.10 and 11.11.
         """
-        if pdu.words[0] != RESERVED_TAG:  # the initiator requests the rest of a long answer
-            rest = self._unsent_text.pop(pdu.words[0], None)
-            if rest is None or pdu.data:
-                raise PduError(PduError.PROTOCOL, "unknown target transfer tag in a text request", pdu)
-            self._send_text(connection, pdu, rest)
-            return
-        text = self._partial_text_requests.pop(allegiance, b"") + pdu.data
-        if len(text) > TEXT_MAX_BYTES:
-            raise PduError(PduError.PROTOCOL, "text request is too long", pdu)
-        if pdu.flags & CONTINUE:
-            self._partial_text_requests[allegiance] = text
-            connection.send(
-                Pdu(
-                    Op.TEXT_RESPONSE,
-                    0,
-                    lun=pdu.lun,
-                    tag=pdu.tag,
-                    words=[self._next_transfer_tag(), 0, 0, 0, 0, 0, 0],
-                ),
-                status=True,
-            )
+        exchange = connection.text_exchange
+        transfer_tag = None if pdu.words[0] == RESERVED_TAG else pdu.words[0]
+        part = exchange.next_part(transfer_tag, connection.agreed.send_segment) if not pdu.data else None
+        if part is not None:
+            self._send_text(connection, pdu, part)
             return
         try:
-            pairs = parse_text(text)
-        except NegotiationError as error:
+            text = exchange.receive(transfer_tag, pdu.data, bool(pdu.flags & CONTINUE))
+            if text is None:
+                self._send_text(connection, pdu, exchange.request_rest(), flags=0)
+                return
+            answers = self._answers_to_text(connection, parse_text(text))
+        except (TextExchangeError, NegotiationError) as error:
             raise PduError(PduError.PROTOCOL, str(error), pdu) from None
-        answers: list[tuple[str, str]] = []
+        # The request may have changed the length of a segment.
+        part = exchange.first_part(pack_text(answers), connection.agreed.send_segment)
+        self._send_text(connection, pdu, part)
+
+    def _answers_to_text(self, connection: Connection, pairs: TextPairs) -> TextPairs:
+        """Returns the answers to the keys of a text request."""
+        answers: TextPairs = []
         negotiable = [(key, value) for key, value in pairs if key != "SendTargets"]
         for key, value in pairs:
             if key == "SendTargets":
@@ -466,26 +452,15 @@
             connection.agreed = self.runner.agreed_with_send_segment(
                 connection, responder.parameters.send_segment
             )
-        self._send_text(connection, pdu, pack_text(answers))
-
-    def _next_transfer_tag(self) -> int:
-        """Returns a new target transfer tag for a text exchange."""
-        self._last_transfer_tag = (self._last_transfer_tag + 1) % RESERVED_TAG
-        return self._last_transfer_tag
-
-    def _send_text(self, connection: Connection, pdu: Pdu, text: bytes) -> None:
-        """Sends as much of a text as fits one PDU, and keeps the rest for the initiator to request."""
-        segment, rest = text[: connection.agreed.send_segment], text[connection.agreed.send_segment :]
-        tag = RESERVED_TAG
-        if rest:
-            tag = self._next_transfer_tag()
-            self._unsent_text = {tag: rest}  # one exchange at a time (11.10.2)
-        flags = CONTINUE if rest else FINAL
+        return answers
+
+    def _send_text(self, connection: Connection, pdu: Pdu, part: TextPart, flags: int | None = None) -> None:
+        """Sends a part of an answer, with the flags that it implies unless others are given."""
+        if flags is None:
+            flags = FINAL if part.transfer_tag is None else CONTINUE
+        words = [RESERVED_TAG if part.transfer_tag is None else part.transfer_tag, 0, 0, 0, 0, 0, 0]
         connection.send(
-            Pdu(
-                Op.TEXT_RESPONSE, flags, lun=pdu.lun, tag=pdu.tag, data=segment, words=[tag, 0, 0, 0, 0, 0, 0]
-            ),
-            status=True,
+            Pdu(Op.TEXT_RESPONSE, flags, lun=pdu.lun, tag=pdu.tag, data=part.data, words=words), status=True
         )
 
     def _visible_targets(self, connection: Connection, value: str) -> list[tuple[str, str]]:
--- a/tests/iscsi/front_cases.py
+++ b/tests/iscsi/front_cases.py
@@ -86,21 +86,22 @@
         self.connection_tasks.add(asyncio.create_task(self.front._serve_connection(*streams)))
         return peer
 
-    async def open_session(self, level: int) -> Peer:
-        """Returns the first connection of a new session."""
+    async def open_session(self, level: int, **keys: str) -> Peer:
+        """Returns the first connection of a new session, which logs in with additional keys."""
         peer = await self.connect()
         return await peer.login(
             ErrorRecoveryLevel=str(level),
             MaxConnections="4",
             DefaultTime2Wait="0",
             DefaultTime2Retain=str(self.time2retain_s),
+            **keys,
         )
 
-    async def join(self, peer: Peer, cid: int) -> Peer:
+    async def join(self, peer: Peer, cid: int, **keys: str) -> Peer:
         """Returns another connection of a peer's session; it replaces an existing one with the CID."""
         joined = await self.connect(peer.isid)
         joined.tsih, joined.cid, joined.cmd_sn, joined.tags = peer.tsih, cid, peer.cmd_sn, peer.tags
-        return await joined.login()
+        return await joined.login(**keys)
 
     def session_of(self, peer: Peer) -> Session:
         return self.front.sessions[peer.tsih]
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -6,7 +6,9 @@
 
 from front_cases import FrontCase
 
+from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, pack_text
 from lemonridge.iscsi.session import FUNCTION_COMPLETE, TASK_REASSIGN
+from lemonridge.lab.conform.peer import Peer
 
 
 class RetainedTasks(FrontCase):
@@ -33,3 +35,58 @@
         self.broker.finished.set()
         self.assertEqual((await third.receive_response(tag))[0].byte3, 0)
         self.assertEqual(self.broker.request_count, 1)
+
+
+class TextExchanges(FrontCase):
+    """Text requests and answers in several PDUs, which belong to one connection."""
+
+    long_request = pack_text(
+        (f"X-{'k' * 50}-{number}", "v") for number in range(20)
+    )  # answers: NotUnderstood
+
+    async def text(
+        self, peer: Peer, data: bytes = b"", transfer_tag: int = RESERVED_TAG, flags: int = FINAL
+    ) -> Pdu:
+        """Sends a text request and returns the next PDU."""
+        request = Pdu(Op.TEXT, flags, tag=9, immediate=True, data=data)
+        request.words[0] = transfer_tag
+        peer.send(request)
+        return await peer.receive()
+
+    # Guards against a session that ends because its connections have long answers at the same time: the rest
+    # of one answer took the place of the other's.
+    async def test_long_answers_on_two_connections_do_not_replace_each_other(self) -> None:
+        first = await self.open_session(level=0, MaxRecvDataSegmentLength="512")
+        second = await self.join(first, cid=1, MaxRecvDataSegmentLength="512")
+        parts = {peer: await self.text(peer, self.long_request) for peer in (first, second)}
+        for peer, part in parts.items():
+            text = part.data
+            while not part.flags & FINAL:
+                part = await self.text(peer, transfer_tag=part.words[0])
+                self.assertEqual(part.opcode, Op.TEXT_RESPONSE)
+                text += part.data
+            self.assertEqual(text.count(b"=NotUnderstood"), 20)
+
+    # Guards against text that outlives its connection, in the session or with a connection of the same CID.
+    async def test_partial_request_ends_with_its_connection(self) -> None:
+        for level in (0, 1, 2):
+            with self.subTest(level=level):
+                peer = await self.open_session(level)
+                await self.text(peer, b"X-half", flags=CONTINUE)
+                replacement = await self.join(peer, cid=peer.cid)
+                answer = await self.text(replacement, b"X-whole=1\0")
+                self.assertEqual((answer.opcode, answer.data), (Op.TEXT_RESPONSE, b"X-whole=NotUnderstood\0"))
+
+    async def test_rest_of_an_answer_ends_with_its_connection(self) -> None:
+        peer = await self.open_session(level=2, MaxRecvDataSegmentLength="512")
+        part = await self.text(peer, self.long_request)
+        replacement = await self.join(peer, cid=peer.cid)
+        answer = await self.text(replacement, transfer_tag=part.words[0])
+        self.assertEqual(answer.opcode, Op.REJECT)
+
+    async def test_continued_request_may_copy_the_transfer_tag(self) -> None:
+        """The initiator copies the tag of the target's empty response (RFC 7143, section 11.10.4)."""
+        peer = await self.open_session(level=0)
+        part = await self.text(peer, b"X-a", flags=CONTINUE)
+        answer = await self.text(peer, b"b=1\0", transfer_tag=part.words[0])
+        self.assertEqual((answer.opcode, answer.data), (Op.TEXT_RESPONSE, b"X-ab=NotUnderstood\0"))
