Tell a login that joins a session the session's numbers, and take its ExpStatSN

What callers saw: after commands were lost with a connection, the response to the login of a further connection acknowledged all of them: its ExpCmdSN was the request's CmdSN, and its MaxCmdSN counted from there, so that commands could be sent past the window, where they are ignored. Statuses that an initiator had received before it restarted a connection were kept, with their data, until Time2Retain was over.

Cause: the numbers were an echo of the request, right for a new session alone; the ExpStatSN of a login that restarts a connection (RFC 7143, 11.12.9) was not read.

Change: the response has the numbers of the session that is joined. The allegiance keeps the statuses of its connection, and the login that replaces it acknowledges them. The numbers of a login stand in its Connection, no longer in a table of the front.

--- a/lemonridge/iscsi/allegiance.py
+++ b/lemonridge/iscsi/allegiance.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from lemonridge.iscsi.numbers import StatusLog
+
 if TYPE_CHECKING:
     from lemonridge.iscsi.connection import Connection
     from lemonridge.iscsi.pdu import Pdu
@@ -20,10 +22,12 @@
     Attributes:
         cid: CID of the connection.
         connection: The connection; None once it has ended.
+        statuses: The connection's statuses that the initiator has not acknowledged.
     """
 
     cid: int
     connection: Connection | None
+    statuses: StatusLog[Pdu] = field(default_factory=lambda: StatusLog(1, 0))
 
     def send(self, pdu: Pdu, status: bool = False) -> None:
         """Sends a PDU on the connection; drops it if the connection has ended.
--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -12,7 +12,6 @@
 from lemonridge.iscsi.numbers import StatusLog
 from lemonridge.iscsi.pdu import (
     RESERVED_TAG,
-    UINT32_MASK,
     DataDigestError,
     HeaderDigestError,
     Op,
@@ -48,6 +47,9 @@
         writer: The output.
         peer: The initiator's IP address.
         cid: The connection's CID; 0 before the first login request.
+        login_cmd_sn: CmdSN of the first login request.
+        login_exp_stat_sn: ExpStatSN of the first login request; where that restarts a connection, the next
+            StatSN that the initiator expected on it (RFC 7143, section 11.12.9).
         agreed: The negotiated parameters; the defaults until the login has succeeded.
         session: The session; None until the login has succeeded.
         statuses: Assigns StatSN, and keeps the PDUs that a Status SNACK may request.
@@ -61,7 +63,7 @@
         self.front, self.reader, self.writer = front, reader, writer
         peer = writer.get_extra_info("peername") or ("",)
         self.peer = str(peer[0])
-        self.cid = 0
+        self.cid = self.login_cmd_sn = self.login_exp_stat_sn = 0
         self.agreed = NegotiatedParameters()
         self.session: Session | None = None
         self.statuses: StatusLog[Pdu] = StatusLog(1, 0)
@@ -161,8 +163,8 @@
             if pdu.opcode != Op.LOGIN:
                 raise PduError(PduError.PROTOCOL, "expected a Login Request", pdu)
             if is_first_request:
-                front.login_exp_cmd_sns[self] = pdu.words[1]  # CmdSN
                 self.cid, is_first_request = pdu.words[0] >> 16, False
+                self.login_cmd_sn, self.login_exp_stat_sn = pdu.words[1:3]
             reply = login.answer(pdu)
             if reply.status:
                 front.counters["logins.refused"] += 1
@@ -176,17 +178,16 @@
             lun = pdu.lun
             if reply.login_ended and not reply.status:
                 lun = lun[:6] + front.tsih_for(login).to_bytes(2, "big")
+            exp_cmd_sn, max_cmd_sn = front.command_numbers_for(login, self.login_cmd_sn)
             response = Pdu(
                 Op.LOGIN_RESPONSE,
                 reply.flags,
                 lun=lun,
                 tag=pdu.tag,
                 data=reply.data,
-                words=[0, 0, front.login_exp_cmd_sns[self], 0, reply.status << 16, 0, 0],
+                words=[0, 0, exp_cmd_sn, max_cmd_sn, reply.status << 16, 0, 0],
             )
             self._assign_stat_sn(response)
-            # MaxCmdSN
-            response.words[3] = (front.login_exp_cmd_sns[self] + front.config.queue_depth - 1) & UINT32_MASK
             self._output.write(response.encode())
             await self.writer.drain()
             if reply.login_ended:
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -18,7 +18,7 @@
 from lemonridge.iscsi.device import Device
 from lemonridge.iscsi.login import ExistingSession, FailedLoginLimiter, LoginPolicy, TargetLogin
 from lemonridge.iscsi.mapped import MappedLuns
-from lemonridge.iscsi.pdu import keep_alive
+from lemonridge.iscsi.pdu import UINT32_MASK, keep_alive
 from lemonridge.iscsi.reservation_file import ReservationFile
 from lemonridge.iscsi.session import Session, SessionEndedError
 from lemonridge.iscsi.task import Task
@@ -53,7 +53,6 @@
         loop: The event loop.
         connections: All connections, also those whose login is in progress.
         sessions: The sessions, by TSIH.
-        login_exp_cmd_sns: ExpCmdSN of the logins in progress.
         buffer_budget: Bounds the data of the commands of all sessions, by their transfer lengths, from their
             receipt until nothing needs the data any more.
         stopping: Whether the front no longer accepts logins.
@@ -77,7 +76,6 @@
         self.mapped_luns, self.loop = mapped_luns, asyncio.get_running_loop()
         self.connections: set[Connection] = set()
         self.sessions: dict[int, Session] = {}
-        self.login_exp_cmd_sns: dict[Connection, int] = {}
         self.buffer_budget = MemoryBudget(config.buffer_bytes)
         self.stopping = False
         self.login_attempts = FailedLoginLimiter(config.login_failures)
@@ -175,6 +173,20 @@
             login.tsih = self._last_tsih
         return login.tsih
 
+    def command_numbers_for(self, login: TargetLogin, cmd_sn: int) -> tuple[int, int]:
+        """Returns ExpCmdSN and MaxCmdSN for a login response.
+
+        They are those of the session to join; for a new session they begin with the login request's CmdSN.
+
+        Args:
+            login: The login.
+            cmd_sn: CmdSN of the first login request.
+        """
+        joined = self.sessions.get(login.tsih) if login.existing_session is not None else None
+        if joined is not None:
+            return joined.command_numbers()
+        return cmd_sn, (cmd_sn + self.config.queue_depth - 1) & UINT32_MASK
+
     def admit(self, connection: Connection, login: TargetLogin) -> Session:
         """Adds a connection whose login has succeeded to a new session or to the one that it joins.
 
@@ -187,7 +199,6 @@
         Raises:
             SessionEndedError: The session to join has ended.
         """
-        exp_cmd_sn = self.login_exp_cmd_sns.pop(connection, 0)
         if login.existing_session is not None:
             joined = self.sessions.get(login.tsih)
             if joined is None:
@@ -202,7 +213,7 @@
             ):
                 self.counters["sessions.reinstated"] += 1
                 previous.end()
-        session = Session(self, login, exp_cmd_sn)
+        session = Session(self, login, connection.login_cmd_sn)
         self.sessions[login.tsih] = session
         self.counters["sessions.opened"] += 1
         session.add_connection(connection)
@@ -294,7 +305,6 @@
         except Exception:
             log.exception("connection failed")
         finally:
-            self.login_exp_cmd_sns.pop(connection, None)
             self.connections.discard(connection)
             if connection.session is not None:
                 connection.session.connection_lost(connection)
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -15,7 +15,7 @@
 from lemonridge.iscsi.device import Nexus
 from lemonridge.iscsi.keys import NegotiationError, Responder, TextPairs, parse_text
 from lemonridge.iscsi.login import TargetLogin
-from lemonridge.iscsi.numbers import ArrivalResult, CommandWindow, serial_distance
+from lemonridge.iscsi.numbers import ArrivalResult, CommandWindow, StatusLog, serial_distance
 from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, PduError, pack_text, unpack_lun
 from lemonridge.iscsi.runner import TaskRunner
 from lemonridge.iscsi.task import Task
@@ -115,8 +115,9 @@
         previous = self.allegiances.get(connection.cid)
         if previous is not None:
             self.front.counters["connections.reinstated"] += 1
+            self._acknowledge(previous.statuses, connection.login_exp_stat_sn)
             self._log_out(previous, keeps_tasks=self._recovers_connections)
-        self.allegiances[connection.cid] = Allegiance(connection.cid, connection)
+        self.allegiances[connection.cid] = Allegiance(connection.cid, connection, connection.statuses)
 
     @property
     def connections(self) -> list[Connection]:
@@ -306,7 +307,7 @@
         if allegiance is None:
             return
         if pdu.opcode != Op.DATA_OUT or connection.agreed.recovery_level:
-            self._acknowledge(connection, pdu)
+            self._acknowledge(connection.statuses, pdu.words[2])
         if pdu.opcode == Op.DATA_OUT:
             self.runner.receive_data_out(connection, pdu)
             return
@@ -348,9 +349,9 @@
                 if received.allegiance.connection is not None:
                     received.allegiance.connection.end_for_protocol_error(error)
 
-    def _acknowledge(self, connection: Connection, pdu: Pdu) -> None:
-        """Releases the tasks whose status is acknowledged by the ExpStatSN of a PDU."""
-        for status in connection.statuses.acknowledge(pdu.words[2]):
+    def _acknowledge(self, statuses: StatusLog[Pdu], exp_stat_sn: int) -> None:
+        """Releases the tasks whose status, on one connection, is acknowledged by an ExpStatSN."""
+        for status in statuses.acknowledge(exp_stat_sn):
             task = self.tasks.get(status.tag)
             if task is not None and task.status is status:
                 self.runner.release_acknowledged(task)
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from front_cases import FrontCase
+from front_cases import BLOCK_BYTES, READ_CDB, FrontCase
 
 from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, pack_text
 from lemonridge.iscsi.session import FUNCTION_COMPLETE, TASK_REASSIGN
@@ -90,3 +90,42 @@
         part = await self.text(peer, b"X-a", flags=CONTINUE)
         answer = await self.text(peer, b"b=1\0", transfer_tag=part.words[0])
         self.assertEqual((answer.opcode, answer.data), (Op.TEXT_RESPONSE, b"X-ab=NotUnderstood\0"))
+
+
+class NumbersOfAFurtherLogin(FrontCase):
+    """The command and status numbers of a login that joins a session."""
+
+    # Guards against an initiator that takes lost commands for received ones: the login response acknowledged
+    # the CmdSN of the request, whatever the session had received.
+    async def test_login_response_has_the_command_numbers_of_the_session(self) -> None:
+        peer = await self.open_session(level=2)
+        await self.start_command(peer)
+        exp_cmd_sn, max_cmd_sn = self.session_of(peer).command_numbers()
+        peer.cmd_sn += 3  # commands that got lost
+        joining = await self.connect(peer.isid)
+        joining.tsih, joining.cid, joining.cmd_sn = peer.tsih, 1, peer.cmd_sn
+        response = await joining.login_step(FINAL | 1 << 2 | 3, joining.login_keys())
+        self.assertEqual(response.words[2:4], [exp_cmd_sn, max_cmd_sn])
+
+    # Guards against statuses that are kept though the initiator has acknowledged them: the login that
+    # restarts a connection carries the ExpStatSN of the lost one (RFC 7143, section 11.12.9).
+    async def test_login_that_restarts_a_connection_acknowledges_its_statuses(self) -> None:
+        for is_lost in (False, True):
+            with self.subTest(is_lost=is_lost):
+                peer = await self.open_session(level=2)
+                self.broker.finished.set()
+                tag = peer.send_command(READ_CDB, read=BLOCK_BYTES)
+                await peer.receive_response(tag)
+                session = self.session_of(peer)
+                self.assertIn(tag, session.tasks)
+                if is_lost:
+                    await self.lose(peer)
+                restarting = await self.connect(peer.isid)
+                data = pack_text((key, value or "") for key, value in peer.login_keys().items())
+                request = Pdu(Op.LOGIN, FINAL | 1 << 2 | 3, immediate=True, data=data)
+                request.lun = peer.isid + peer.tsih.to_bytes(2, "big")
+                request.words[:3] = [peer.cid << 16, peer.cmd_sn, peer.exp_stat_sn]
+                restarting.send(request, assign_numbers=False)
+                await restarting.receive(Op.LOGIN_RESPONSE)
+                await self.until(lambda session=session: session.connections)
+                self.assertNotIn(tag, session.tasks)
