Free the tag of an answered command whose connection was lost

What callers saw: at recovery level 2, after a connection was lost, a command with the tag of one whose status had arrived before was rejected, which ended its connection too, for the 22 s of Time2Wait and Time2Retain. The initiator had the status, and nothing could acknowledge it.

Cause: above level 0 a tag was in use until the acknowledgement of its status, which comes on the connection of the status alone.

Evidence: the new test got a Reject before.

Change: the tag of a command whose status was sent is free once its connection has ended; the command is forgotten when the tag is used again. Until then it can be reassigned as before.

Result: tests/iscsi pass.

--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -64,10 +64,7 @@
         """
         session, front = self._session, self._front
         agreed = session.agreed
-        previous = session.tasks.get(pdu.tag)
-        if pdu.tag == RESERVED_TAG or (
-            previous is not None and (previous.status is None or session.agreed.recovery_level)
-        ):
+        if pdu.tag == RESERVED_TAG or not self._free_tag(pdu.tag):
             raise PduError(PduError.FIELD, "task tag is reserved or in use", pdu)
         reads, writes = bool(pdu.flags & 0x40), bool(pdu.flags & 0x20)  # R and W bits
         lun, length = unpack_lun(pdu.lun), pdu.words[0]
@@ -103,6 +100,21 @@
         task.execution = asyncio.create_task(self._run(task))
         task.execution.add_done_callback(partial(self._execution_ended, task, order))
 
+    def _free_tag(self, tag: int) -> bool:
+        """Frees a task tag for a new command; returns False if the tag is in use.
+
+        A command keeps its tag until its status is acknowledged, where that can be requested again. After the
+        loss of its connection it cannot be acknowledged: an initiator that uses the tag again has the status.
+        """
+        previous = self._session.tasks.get(tag)
+        if previous is None:
+            return True
+        is_kept = bool(self._session.agreed.recovery_level) and previous.connection is not None
+        if previous.status is None or is_kept:
+            return False
+        self._session.remove_task(previous)
+        return True
+
     def _execution_ended(self, task: Task, order: TaskOrder, _: asyncio.Task[None]) -> None:
         """Lets later commands run, and releases the hold of `_run` on the reservation."""
         self._remove_from_order(task, order)
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -129,3 +129,18 @@
                 await restarting.receive(Op.LOGIN_RESPONSE)
                 await self.until(lambda session=session: session.connections)
                 self.assertNotIn(tag, session.tasks)
+
+
+class TagsOfLostConnections(FrontCase):
+    # Guards against a rejected command: its tag was that of a command whose status had arrived before its
+    # connection was lost, so that nothing could acknowledge it.
+    async def test_tag_of_a_command_with_a_status_is_free_after_the_loss_of_its_connection(self) -> None:
+        steady = await self.open_session(level=2)
+        other = await self.join(steady, cid=1)
+        self.broker.finished.set()
+        tag = other.send_command(READ_CDB, read=BLOCK_BYTES)
+        await other.receive_response(tag)
+        await self.lose(other)
+        steady.cmd_sn = other.cmd_sn
+        steady.send_command(READ_CDB, read=BLOCK_BYTES, tag=tag)
+        self.assertEqual((await steady.receive_response(tag))[0].byte3, 0)
