End a stopping session with the status of its last command at every recovery level

What callers saw: at recovery levels 1 and 2, if a command was open 0.5 s after SIGTERM, the program did not end with its answer: the session ended when the initiator acknowledged the status, and one without commands sends nothing until it is pinged, after 30 s.

Cause: whether a session is idle was looked at when a task is removed, which above level 0 is its acknowledgement.

Evidence: found by the table of the ways in which a connection ends.

--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -353,8 +353,7 @@
             words=[0, 0, 0, 0, data_in_count, 0, abs(residual)],
         )
         connection.send(task.status, status=True)
-        if not self._session.agreed.recovery_level:
-            self._session.remove_task(task)
+        self._session.status_sent(task)
 
     def _send_data_in(self, connection: Connection, task: Task, outbound: Outbound, part: DataInPdu) -> None:
         """Sends one Data-In PDU of a task."""
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -156,7 +156,6 @@
             self.end()
             return
         allegiance.connection = None
-        self.front.counters["tasks.orphaned"] += len(self._tasks_of(allegiance))
         self._retain_tasks(allegiance)
         self._end_if_nothing_recovers()
 
@@ -195,6 +194,8 @@
         The time is DefaultTime2Wait plus DefaultTime2Retain. It begins anew with the logout of a connection
         that was lost, whose response promises it (RFC 7143, sections 11.15.3, 11.15.4 and 13.16).
         """
+        if allegiance not in self._retention_timers:
+            self.front.counters["tasks.orphaned"] += len(self._tasks_of(allegiance))
         self._stop_retaining(allegiance)
         if len(self._retention_timers) >= MAX_RETAINED_CONNECTIONS:
             self._expire(next(iter(self._retention_timers)))
@@ -588,6 +589,16 @@
             task.execution.cancel()
         self.remove_task(task)
 
+    def status_sent(self, task: Task) -> None:
+        """Removes a task whose status was sent, at recovery level 0, where it cannot be requested again.
+
+        Args:
+            task: A task of this session.
+        """
+        if not self.agreed.recovery_level:
+            self.remove_task(task)
+        self._end_if_idle()
+
     def remove_task(self, task: Task) -> None:
         """Removes a task, which frees its task tag; its status will not be sent again.
 
--- a/tests/integration/test_iscsi_connection_ends.py
+++ b/tests/integration/test_iscsi_connection_ends.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 
+from harness import TIMEOUT_S
 from test_iscsi_rude import READ_CDB, IscsiFrontCase
 
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu
@@ -76,3 +78,26 @@
         response, _ = await third.receive_response(held_tag)
         self.assertEqual(response.byte3, 0)
         self.assertEqual(await third.expect_good(READ_CDB, read=4096), b"H" * 4096)
+
+
+class StoppingSessions(IscsiFrontCase):
+    # Guards against a program that does not end after SIGTERM: above recovery level 0 a session ended with
+    # the acknowledgement of its last status, which an initiator without commands does not send.
+    async def test_session_ends_with_the_status_of_its_last_command_at_sigterm(self) -> None:
+        for level in ("0", "1", "2"):
+            with self.subTest(level=level):
+                self.program, self.port = await self.launch(f"level-{level}", self.node.port, self.front)
+                peer = await self.peer(ErrorRecoveryLevel=level)
+                await peer.expect_good(READ_CDB, read=4096)
+                self.node.delay_s = lambda: 0.9  # past the half second in which commands are taken
+                commands_before = len(self.node.command_start_times)
+                tag = peer.send_command(READ_CDB, read=4096)
+                async with asyncio.timeout(TIMEOUT_S):
+                    while len(self.node.command_start_times) == commands_before:
+                        await asyncio.sleep(0.001)
+                self.program.process.send_signal(signal.SIGTERM)
+                await peer.receive(Op.ASYNC)
+                self.assertEqual((await peer.receive_response(tag))[0].byte3, 0)
+                await peer.expect_close()
+                self.assertEqual(await self.program.stop(signal.SIGCONT), 0)
+                self.node.delay_s = lambda: 0.0
--- a/tests/iscsi/test_reassignment.py
+++ b/tests/iscsi/test_reassignment.py
@@ -27,7 +27,9 @@
         front = SimpleNamespace(loop=asyncio.get_running_loop(), counters=Counters())
         pdu = Pdu(Op.SCSI_COMMAND, FINAL, tag=7)
         task = Task(pdu, scsi.Command(0, b"", True, False, 512), 0, Allegiance(1, connection=None))
-        session: Any = SimpleNamespace(front=front, agreed=agreed, tasks={7: task})
+        session: Any = SimpleNamespace(
+            front=front, agreed=agreed, tasks={7: task}, status_sent=lambda _: None
+        )
         runner = TaskRunner(session)
         good = scsi.Reply(scsi.Status.GOOD, b"x" * 512)
         if ended_first:
