--- a/tests/iscsi/test_ways_of_ending.py
+++ b/tests/iscsi/test_ways_of_ending.py
@@ -256,3 +256,12 @@
             await self.until(lambda: not scene.session._retention_timers)
 
         await self.check(lose, {2: Expected(session_with_one=False, session_with_two=True)})
+
+    async def test_stopping_session_waits_for_its_lost_tasks_until_they_expire(self) -> None:
+        """RFC 7143, section 13.16; docs/iscsi.md, "At SIGTERM"."""
+        scene = await self.set_scene(level=2, connection_count=1)
+        await self.lose(scene.doomed)
+        scene.session.end_when_idle()
+        self.assertFalse(scene.session.ended)
+        await self.until(lambda: scene.session.ended)
+        self.assertEqual(self.front.counters["tasks.expired"], 2)
