Break the circle of imports among the five modules of the iSCSI front

Need: portal, connection, session, runner and task imported each other for their types, and the import contract left the package out.

Change: each module declares what it needs of the others as a protocol: InitiatorConnection in allegiance.py, ConnectionFront and ConnectionOwner in connection.py, CommandFront and CommandSession in runner.py, SessionFront in session.py. Imports go portal, connection and session, runner, task, allegiance, one way. A session no longer goes over the front's table of sessions: the front answers for all tasks and ends all sessions. agreed_with_send_segment, which used nothing of its class, is a call of replace. Behaviour stays as it is.

--- a/lemonridge/iscsi/allegiance.py
+++ b/lemonridge/iscsi/allegiance.py
@@ -2,14 +2,47 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from lemonridge.iscsi.keys import NegotiatedParameters
 from lemonridge.iscsi.numbers import StatusLog
+from lemonridge.iscsi.pdu import Pdu, PduError
+from lemonridge.iscsi.text_exchange import TextExchange
 
-if TYPE_CHECKING:
-    from lemonridge.iscsi.connection import Connection
-    from lemonridge.iscsi.pdu import Pdu
+
+class InitiatorConnection(Protocol):
+    """What a session and its tasks know of a connection; see `connection.Connection`."""
+
+    cid: int
+    login_cmd_sn: int
+    login_exp_stat_sn: int
+    agreed: NegotiatedParameters
+    statuses: StatusLog[Pdu]
+    text_exchange: TextExchange
+    unanswered_pings: set[int]
+    writer: asyncio.StreamWriter
+
+    def send(self, pdu: Pdu, status: bool = False) -> None:
+        """Sends a PDU with the current StatSN; one that carries status takes a StatSN of its own."""
+        ...
+
+    def write(self, pdu: Pdu) -> None:
+        """Writes a PDU with the StatSN that it already has."""
+        ...
+
+    def reject(self, pdu: Pdu | None, reason: int) -> None:
+        """Sends a Reject."""
+        ...
+
+    def end_for_protocol_error(self, error: PduError) -> None:
+        """Answers a PDU that breaks the protocol with a Reject and ends the connection without a logout."""
+        ...
+
+    def close(self) -> None:
+        """Closes the connection; pending output is still sent."""
+        ...
 
 
 @dataclass(slots=True, eq=False)
@@ -26,7 +59,7 @@
     """
 
     cid: int
-    connection: Connection | None
+    connection: InitiatorConnection | None
     statuses: StatusLog[Pdu] = field(default_factory=lambda: StatusLog(1, 0))
 
     def send(self, pdu: Pdu, status: bool = False) -> None:
--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -5,10 +5,14 @@
 import asyncio
 import logging
 import secrets
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from lemonridge.core.clock import Clock
+from lemonridge.core.counters import Counters
+from lemonridge.iscsi.allegiance import InitiatorConnection
+from lemonridge.iscsi.config import IscsiConfig
 from lemonridge.iscsi.keys import NegotiatedParameters
-from lemonridge.iscsi.login import AUTHENTICATION_FAILURE, TargetLogin
+from lemonridge.iscsi.login import AUTHENTICATION_FAILURE, FailedLoginLimiter, LoginPolicy, TargetLogin
 from lemonridge.iscsi.numbers import StatusLog
 from lemonridge.iscsi.pdu import (
     RESERVED_TAG,
@@ -22,10 +26,6 @@
 from lemonridge.iscsi.text_exchange import TextExchange
 from lemonridge.net.client_output import ClientOutput
 
-if TYPE_CHECKING:
-    from lemonridge.iscsi.portal import IscsiFront
-    from lemonridge.iscsi.session import Session
-
 log = logging.getLogger(__name__)
 
 LOGIN_TIMEOUT_S = 5.0  # from the accepted connection to the end of its login phase
@@ -33,6 +33,49 @@
 CLOSE_GRACE_S = 1.0  # from the close until output is no longer sent to a peer that does not read
 
 
+class ConnectionOwner(Protocol):
+    """The session of a connection; see `session.Session`."""
+
+    def receive(self, connection: InitiatorConnection, pdu: Pdu) -> None:
+        """Processes a received PDU; raises a PduError if it breaks the protocol."""
+        ...
+
+    def connection_lost(self, connection: InitiatorConnection) -> None:
+        """Ends the allegiance to a connection that has ended without a logout."""
+        ...
+
+    def data_digest_failed(self, connection: InitiatorConnection, pdu: Pdu) -> None:
+        """Requests data again after a PDU was discarded because of its data digest."""
+        ...
+
+    def command_numbers(self) -> tuple[int, int]:
+        """Returns the current ExpCmdSN and MaxCmdSN."""
+        ...
+
+
+class ConnectionFront(Protocol):
+    """The front of a connection; see `portal.IscsiFront`."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+    config: IscsiConfig
+    counters: Counters
+    login_attempts: FailedLoginLimiter
+    login_rules: LoginPolicy
+
+    def tsih_for(self, login: TargetLogin) -> int:
+        """Returns the TSIH for the last login response."""
+        ...
+
+    def command_numbers_for(self, login: TargetLogin, cmd_sn: int) -> tuple[int, int]:
+        """Returns ExpCmdSN and MaxCmdSN for a login response."""
+        ...
+
+    def admit(self, connection: InitiatorConnection, login: TargetLogin) -> ConnectionOwner:
+        """Adds a connection whose login has succeeded to a session; raises a ConnectionError if it ended."""
+        ...
+
+
 class Connection:
     """A connection, which belongs to a session once its login has succeeded.
 
@@ -59,13 +102,15 @@
         closed: Whether this side has closed the connection.
     """
 
-    def __init__(self, front: IscsiFront, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, front: ConnectionFront, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         self.front, self.reader, self.writer = front, reader, writer
         peer = writer.get_extra_info("peername") or ("",)
         self.peer = str(peer[0])
         self.cid = self.login_cmd_sn = self.login_exp_stat_sn = 0
         self.agreed = NegotiatedParameters()
-        self.session: Session | None = None
+        self.session: ConnectionOwner | None = None
         self.statuses: StatusLog[Pdu] = StatusLog(1, 0)
         self.text_exchange = TextExchange()
         self.unanswered_pings: set[int] = set()
@@ -117,7 +162,7 @@
             self.end_for_protocol_error(error)
         await self.writer.drain()
 
-    async def _next_pdu(self, session: Session) -> Pdu:
+    async def _next_pdu(self, session: ConnectionOwner) -> Pdu:
         """Returns the next PDU whose digests are correct.
 
         A PDU with a data digest error is rejected; at recovery level 0 the connection then ends, and at
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -13,9 +13,10 @@
 from lemonridge.core.endpoint_registry import EndpointRegistry
 from lemonridge.core.memory_budget import MemoryBudget
 from lemonridge.iscsi import scsi
+from lemonridge.iscsi.allegiance import InitiatorConnection
 from lemonridge.iscsi.config import IscsiConfig
 from lemonridge.iscsi.connection import Connection
-from lemonridge.iscsi.device import Device
+from lemonridge.iscsi.device import Device, Nexus
 from lemonridge.iscsi.login import ExistingSession, FailedLoginLimiter, LoginPolicy, TargetLogin
 from lemonridge.iscsi.mapped import MappedLuns
 from lemonridge.iscsi.pdu import UINT32_MASK, keep_alive
@@ -187,7 +188,7 @@
             return joined.command_numbers()
         return cmd_sn, (cmd_sn + self.config.queue_depth - 1) & UINT32_MASK
 
-    def admit(self, connection: Connection, login: TargetLogin) -> Session:
+    def admit(self, connection: InitiatorConnection, login: TargetLogin) -> Session:
         """Adds a connection whose login has succeeded to a new session or to the one that it joins.
 
         A new session replaces one of the same initiator, ISID and target (RFC 7143, section 6.3.5).
@@ -221,14 +222,14 @@
 
     # Commands
 
-    def answer_locally(self, session: Session, command: scsi.Command) -> scsi.Reply | None:
+    def answer_locally(self, nexus: Nexus, command: scsi.Command) -> scsi.Reply | None:
         """Returns the reply to a command that the broker answers itself; None if a node has to execute it.
 
         Args:
-            session: The session that received the command.
+            nexus: The I_T nexus of the session that received the command.
             command: The command, whose data has not been received.
         """
-        reply = self.device.answer_locally(session.nexus, command)
+        reply = self.device.answer_locally(nexus, command)
         if reply is None and self.mapped_luns is not None and self.config.luns[command.lun].mapped:
             return self.mapped_luns.answer_locally(command)
         return reply
@@ -239,12 +240,16 @@
         Args:
             lun: The LUN; None for an invalid one, which has no tasks.
         """
-        return [
-            task
-            for session in self.sessions.values()
-            for task in session.tasks.values()
-            if task.command.lun == lun
-        ]
+        return [task for task in self.all_tasks() if task.command.lun == lun]
+
+    def all_tasks(self) -> list[Task]:
+        """Returns the tasks of all sessions."""
+        return [task for session in self.sessions.values() for task in session.tasks.values()]
+
+    def end_sessions(self) -> None:
+        """Ends all sessions, for TARGET COLD RESET."""
+        for session in list(self.sessions.values()):
+            session.end()
 
     def abort_task(self, task: Task) -> None:
         """Ends a task of any session without a response.
--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -7,31 +7,73 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from lemonridge.core.memory_budget import Reservation
+from lemonridge.core.broker import Broker
+from lemonridge.core.clock import Clock
+from lemonridge.core.counters import Counters
+from lemonridge.core.memory_budget import MemoryBudget, Reservation
 from lemonridge.iscsi import scsi
-from lemonridge.iscsi.allegiance import Allegiance
-from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS
+from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection
+from lemonridge.iscsi.config import IscsiConfig
+from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS, Device, Nexus
 from lemonridge.iscsi.keys import NegotiatedParameters
-from lemonridge.iscsi.mapped import make_request, reply_from_answer, request_class_of
+from lemonridge.iscsi.mapped import MappedLuns, make_request, reply_from_answer, request_class_of
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu, PduError, unpack_lun
 from lemonridge.iscsi.task import Task
 from lemonridge.iscsi.task_order import TaskOrder
 from lemonridge.iscsi.transfer import DataInPdu, Inbound, Outbound, ReadyToTransfer, TransferError
 from lemonridge.net.sockets import peer_has_closed
 
-if TYPE_CHECKING:
-    from lemonridge.iscsi.connection import Connection
-    from lemonridge.iscsi.session import Session
-
 TASK_ATTRIBUTE_MASK = 0x07  # in the flags of a SCSI Command PDU (RFC 7143, section 11.3.1)
 R2T_RETRY_INTERVAL_S = 0.2  # without Data-Out before missing data is requested again
 DATA_SNACK, STATUS_SNACK, DATA_ACK, RDATA_SNACK = range(4)  # SNACK types (RFC 7143, section 11.16.1)
 
 
+class CommandFront(Protocol):
+    """The front of a session's commands; see `portal.IscsiFront`."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+    config: IscsiConfig
+    counters: Counters
+    device: Device
+    broker: Broker
+    buffer_budget: MemoryBudget
+    mapped_luns: MappedLuns | None
+
+    def answer_locally(self, nexus: Nexus, command: scsi.Command) -> scsi.Reply | None:
+        """Returns the reply to a command that the broker answers itself; None if a node has to execute it."""
+        ...
+
+
+class CommandSession(Protocol):
+    """The session of a runner's commands; see `session.Session`."""
+
+    agreed: NegotiatedParameters
+    tasks: dict[int, Task]
+    nexus: Nexus
+    ends_when_idle: bool
+
+    @property
+    def front(self) -> CommandFront:
+        """The front."""
+        ...
+
+    def status_sent(self, task: Task) -> None:
+        """Takes note that the status of a task was sent."""
+        ...
+
+    def remove_task(self, task: Task) -> None:
+        """Removes a task, which frees its task tag."""
+        ...
+
+    def abort(self, task: Task) -> None:
+        """Ends a task without a response."""
+        ...
+
+
 class TaskRunner:
     """Runs the commands of one session.
 
@@ -39,7 +81,7 @@
         session: The session.
     """
 
-    def __init__(self, session: Session) -> None:
+    def __init__(self, session: CommandSession) -> None:
         self._session, self._front = session, session.front
         self._last_transfer_tag = 0  # the highest target transfer tag issued
         self._task_orders: dict[int, TaskOrder] = {}  # by LUN
@@ -78,7 +120,7 @@
         command = scsi.Command(-1 if lun is None else lun, pdu.cdb, reads, writes, length)
         task = Task(pdu, command, front.clock.now_us(), allegiance)
         front.counters["commands.taken"] += 1
-        reply = front.answer_locally(session, command)
+        reply = front.answer_locally(session.nexus, command)
         if reply is None and session.ends_when_idle:
             reply = scsi.Reply(scsi.Status.BUSY)
         if reply is None and not front.buffer_budget.fits(length):
@@ -258,7 +300,7 @@
                     )
                 )
 
-    def receive_data_out(self, connection: Connection, pdu: Pdu) -> None:
+    def receive_data_out(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Adds the data of a Data-Out PDU to its task.
 
         Data for a task that was aborted, that has already been answered or that belongs to another connection
@@ -355,7 +397,9 @@
         connection.send(task.status, status=True)
         self._session.status_sent(task)
 
-    def _send_data_in(self, connection: Connection, task: Task, outbound: Outbound, part: DataInPdu) -> None:
+    def _send_data_in(
+        self, connection: InitiatorConnection, task: Task, outbound: Outbound, part: DataInPdu
+    ) -> None:
         """Sends one Data-In PDU of a task."""
         data = outbound.data[part.offset : part.offset + part.length]
         connection.send(
@@ -379,7 +423,7 @@
 
     # Recovery
 
-    def handle_snack(self, connection: Connection, pdu: Pdu) -> None:
+    def handle_snack(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Sends the requested PDUs again (RFC 7143, sections 7.3 and 11.16).
 
         A request for PDUs that are no longer kept is answered with a Reject.
@@ -423,15 +467,6 @@
                 return
         connection.reject(pdu, PduError.SNACK)
 
-    def agreed_with_send_segment(self, connection: Connection, segment_bytes: int) -> NegotiatedParameters:
-        """Returns a connection's parameters with a new maximum length of the data segments that it sends.
-
-        Args:
-            connection: The connection whose initiator has declared a new MaxRecvDataSegmentLength.
-            segment_bytes: The declared length, in bytes.
-        """
-        return replace(connection.agreed, send_segment=segment_bytes)
-
     def reassign(self, allegiance: Allegiance, pdu: Pdu) -> int:
         """Reassigns a task whose connection was lost to another connection (RFC 7143, sections 7.4 and 11.5).
 
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -8,22 +8,19 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from dataclasses import replace
+from typing import Protocol
 
-from lemonridge.iscsi.allegiance import Allegiance, ReceivedPdu
-from lemonridge.iscsi.connection import Connection
+from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection, ReceivedPdu
 from lemonridge.iscsi.device import Nexus
 from lemonridge.iscsi.keys import NegotiationError, Responder, TextPairs, parse_text
 from lemonridge.iscsi.login import TargetLogin
 from lemonridge.iscsi.numbers import ArrivalResult, CommandWindow, StatusLog, serial_distance
 from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, PduError, pack_text, unpack_lun
-from lemonridge.iscsi.runner import TaskRunner
+from lemonridge.iscsi.runner import CommandFront, TaskRunner
 from lemonridge.iscsi.task import Task
 from lemonridge.iscsi.text_exchange import TextExchangeError, TextPart
 
-if TYPE_CHECKING:
-    from lemonridge.iscsi.portal import IscsiFront
-
 log = logging.getLogger(__name__)
 
 MAX_RETAINED_CONNECTIONS = 16  # of a session, which have ended and whose tasks may still be reassigned
@@ -56,6 +53,30 @@
     """A connection cannot be added to a session that has ended or is about to end."""
 
 
+class SessionFront(CommandFront, Protocol):
+    """The front of a session; see `portal.IscsiFront`."""
+
+    def tasks_of_lun(self, lun: int | None) -> list[Task]:
+        """Returns the tasks of all sessions at a LUN."""
+        ...
+
+    def all_tasks(self) -> list[Task]:
+        """Returns the tasks of all sessions."""
+        ...
+
+    def abort_task(self, task: Task) -> None:
+        """Ends a task of any session without a response."""
+        ...
+
+    def end_sessions(self) -> None:
+        """Ends all sessions."""
+        ...
+
+    def remove_session(self, session: Session) -> None:
+        """Removes a session that has ended."""
+        ...
+
+
 class Session:
     """One session, identified by its TSIH.
 
@@ -84,7 +105,7 @@
         ends_when_idle: Whether the session ends once no task is left without a status.
     """
 
-    def __init__(self, front: IscsiFront, login: TargetLogin, exp_cmd_sn: int) -> None:
+    def __init__(self, front: SessionFront, login: TargetLogin, exp_cmd_sn: int) -> None:
         self.front, self.loop = front, front.loop
         self.initiator, self.target, self.isid = login.initiator, login.target, login.isid
         self.tsih, self.discovery, self.agreed = login.tsih, login.discovery, login.parameters
@@ -99,7 +120,7 @@
 
     # Connections
 
-    def add_connection(self, connection: Connection) -> None:
+    def add_connection(self, connection: InitiatorConnection) -> None:
         """Adds a connection whose login has succeeded.
 
         An existing connection with the same CID is logged out implicitly (RFC 7143, section 6.3.4).
@@ -120,7 +141,7 @@
         self.allegiances[connection.cid] = Allegiance(connection.cid, connection, connection.statuses)
 
     @property
-    def connections(self) -> list[Connection]:
+    def connections(self) -> list[InitiatorConnection]:
         """The connections that are logged in."""
         return [
             allegiance.connection
@@ -128,7 +149,7 @@
             if allegiance.connection is not None
         ]
 
-    def _allegiance_to(self, connection: Connection) -> Allegiance | None:
+    def _allegiance_to(self, connection: InitiatorConnection) -> Allegiance | None:
         """Returns the allegiance to a connection; None if the session has no such connection any more."""
         allegiance = self.allegiances.get(connection.cid)
         return allegiance if allegiance is not None and allegiance.connection is connection else None
@@ -138,7 +159,7 @@
         """Whether the tasks of an ended connection may be reassigned (RFC 7143, section 7.4)."""
         return self.agreed.recovery_level >= 2 and not self.discovery
 
-    def connection_lost(self, connection: Connection) -> None:
+    def connection_lost(self, connection: InitiatorConnection) -> None:
         """Ends the allegiance to a connection that has ended without a logout.
 
         At recovery level 2 its tasks wait to be reassigned, for DefaultTime2Wait plus DefaultTime2Retain
@@ -290,7 +311,7 @@
 
     # Receiving PDUs
 
-    def receive(self, connection: Connection, pdu: Pdu) -> None:
+    def receive(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Processes a received PDU.
 
         PDUs with a CmdSN are processed in the order of their numbers. One that arrives early is held until
@@ -357,7 +378,7 @@
             if task is not None and task.status is status:
                 self.runner.release_acknowledged(task)
 
-    def _resend_status(self, connection: Connection, pdu: Pdu) -> None:
+    def _resend_status(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Handles a command that was received before (RFC 7143, section 7.2.1).
 
         If the first command has its status, the status is sent again. Otherwise the repeated command is
@@ -368,7 +389,7 @@
         if task is not None and task.status is not None and task.connection is connection:
             connection.write(task.status)
 
-    def data_digest_failed(self, connection: Connection, pdu: Pdu) -> None:
+    def data_digest_failed(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Requests data again after a PDU was discarded because of its data digest (RFC 7143, section 7.2).
 
         Args:
@@ -400,7 +421,7 @@
         else:
             self.runner.receive_command(allegiance, pdu)
 
-    def _receive_nop_out(self, connection: Connection, pdu: Pdu) -> None:
+    def _receive_nop_out(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Records the answer to a ping of the target, or answers a ping of the initiator."""
         if pdu.words[0] != RESERVED_TAG:  # the answer to a ping of the target
             connection.unanswered_pings.discard(pdu.words[0])
@@ -411,7 +432,7 @@
 
     # Text and logout
 
-    def _receive_text(self, connection: Connection, pdu: Pdu) -> None:
+    def _receive_text(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Answers a text request, or sends the next part of an answer.
 
         RFC 7143, sections 11.10 and 11.11.
@@ -434,7 +455,7 @@
         part = exchange.first_part(pack_text(answers), connection.agreed.send_segment)
         self._send_text(connection, pdu, part)
 
-    def _answers_to_text(self, connection: Connection, pairs: TextPairs) -> TextPairs:
+    def _answers_to_text(self, connection: InitiatorConnection, pairs: TextPairs) -> TextPairs:
         """Returns the answers to the keys of a text request."""
         answers: TextPairs = []
         negotiable = [(key, value) for key, value in pairs if key != "SendTargets"]
@@ -451,12 +472,13 @@
             "MaxRecvDataSegmentLength" in dict(negotiable)
             and ("MaxRecvDataSegmentLength", "Reject") not in answers
         ):
-            connection.agreed = self.runner.agreed_with_send_segment(
-                connection, responder.parameters.send_segment
-            )
+            segment_bytes = responder.parameters.send_segment
+            connection.agreed = replace(connection.agreed, send_segment=segment_bytes)
         return answers
 
-    def _send_text(self, connection: Connection, pdu: Pdu, part: TextPart, flags: int | None = None) -> None:
+    def _send_text(
+        self, connection: InitiatorConnection, pdu: Pdu, part: TextPart, flags: int | None = None
+    ) -> None:
         """Sends a part of an answer, with the flags that it implies unless others are given."""
         if flags is None:
             flags = FINAL if part.transfer_tag is None else CONTINUE
@@ -465,7 +487,7 @@
             Pdu(Op.TEXT_RESPONSE, flags, lun=pdu.lun, tag=pdu.tag, data=part.data, words=words), status=True
         )
 
-    def _visible_targets(self, connection: Connection, value: str) -> list[tuple[str, str]]:
+    def _visible_targets(self, connection: InitiatorConnection, value: str) -> list[tuple[str, str]]:
         """Returns the answer to SendTargets: the requested targets that this initiator may log in to.
 
         RFC 7143, Appendix C.
@@ -530,9 +552,7 @@
             else:
                 tasks_to_abort = self.front.tasks_of_lun(lun)
         elif function in (TARGET_WARM_RESET, TARGET_COLD_RESET):
-            tasks_to_abort = [
-                task for session in list(self.front.sessions.values()) for task in session.tasks.values()
-            ]
+            tasks_to_abort = self.front.all_tasks()
         elif function == TASK_REASSIGN:
             response = self.runner.reassign(allegiance, pdu)
         else:
@@ -554,8 +574,7 @@
             self.front.device.report_reset(self.nexus, luns, cleared=function == CLEAR_TASK_SET)
         allegiance.send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
         if function == TARGET_COLD_RESET:
-            for session in list(self.front.sessions.values()):
-                session.end()
+            self.front.end_sessions()
 
     def _abort_referenced_task(self, pdu: Pdu) -> tuple[int, list[Task]]:
         """Executes ABORT TASK (RFC 7143, sections 11.5.1 and 11.6.1).
--- a/lemonridge/iscsi/task.py
+++ b/lemonridge/iscsi/task.py
@@ -4,17 +4,13 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from lemonridge.core.memory_budget import Reservation
 from lemonridge.iscsi import scsi
-from lemonridge.iscsi.allegiance import Allegiance
+from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection
 from lemonridge.iscsi.pdu import Pdu
 from lemonridge.iscsi.transfer import Inbound, Outbound
 
-if TYPE_CHECKING:
-    from lemonridge.iscsi.connection import Connection
-
 
 @dataclass(slots=True, eq=False)
 class Task:
@@ -53,7 +49,7 @@
     last_data_s: float = 0.0
 
     @property
-    def connection(self) -> Connection | None:
+    def connection(self) -> InitiatorConnection | None:
         """Connection that the command is allegiant to; None after that connection has ended."""
         return self.allegiance.connection
 
