--- a/tests/iscsi/test_ways_of_ending.py
+++ b/tests/iscsi/test_ways_of_ending.py
@@ -1,6 +1,6 @@
 """The ways in which a connection ends, by what becomes of its session, tasks, held PDUs and kept statuses.
 
-The same table stands in docs/incidents/session-forgotten-after-a-replacement.md.
+The same table stands in docs/incidents/what-hangs-on-a-connection-that-ends.md.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from lemonridge.iscsi.connection import Connection
 from lemonridge.iscsi.session import (
+    CID_NOT_FOUND,
     CLOSE_CONNECTION,
     CLOSE_SESSION,
     LOGOUT_DONE,
@@ -118,6 +119,9 @@
                     is_held = scene.held_cmd_sn in scene.session.window.pending
                     self.assertEqual(is_held, expected[level].held, "held command")
                 self.assertEqual(scene.connection.closed, not stays_open)
+                reading_timer = scene.connection._read_check_timer
+                assert reading_timer is not None
+                self.assertEqual(reading_timer.cancelled(), not stays_open)
                 self.assertEqual(scene.connection in scene.session.connections, stays_open)
 
     def check_session(self, scene: Scene, expected: Expected, connection_count: int) -> None:
@@ -207,6 +211,9 @@
         async def log_out(scene: Scene) -> None:
             response = await self.log_out(scene.other or scene.doomed, REMOVE_FOR_RECOVERY, scene.doomed.cid)
             self.assertEqual(response, LOGOUT_DONE)
+            if scene.other is not None:
+                response = await self.log_out(scene.other, REMOVE_FOR_RECOVERY, scene.doomed.cid)
+                self.assertEqual(response, CID_NOT_FOUND)
 
         await self.check(log_out, {2: Expected(session_with_one=True, session_with_two=True, tasks=True)})
 
