--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -8,18 +8,17 @@
 
 import asyncio
 import logging
-from dataclasses import replace
 from typing import Protocol
 
 from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection, ReceivedPdu
 from lemonridge.iscsi.device import Nexus
-from lemonridge.iscsi.keys import NegotiationError, Responder, TextPairs, parse_text
 from lemonridge.iscsi.login import TargetLogin
-from lemonridge.iscsi.numbers import ArrivalResult, CommandWindow, StatusLog, serial_distance
-from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, PduError, pack_text, unpack_lun
-from lemonridge.iscsi.runner import CommandFront, TaskRunner
+from lemonridge.iscsi.numbers import ArrivalResult, CommandWindow, StatusLog
+from lemonridge.iscsi.pdu import RESERVED_TAG, Op, Pdu, PduError
+from lemonridge.iscsi.runner import TaskRunner
 from lemonridge.iscsi.task import Task
-from lemonridge.iscsi.text_exchange import TextExchangeError, TextPart
+from lemonridge.iscsi.task_management import TaskManager, TaskManagerFront
+from lemonridge.iscsi.text_requests import TextRequestHandler
 
 log = logging.getLogger(__name__)
 
@@ -28,50 +27,15 @@
 # Logout reason and response codes (RFC 7143, sections 11.14.1 and 11.15.1)
 CLOSE_SESSION, CLOSE_CONNECTION, REMOVE_FOR_RECOVERY = range(3)
 LOGOUT_DONE, CID_NOT_FOUND, RECOVERY_NOT_SUPPORTED = range(3)
-# Task management function and response codes (RFC 7143, sections 11.5.1 and 11.6.1)
-(
-    ABORT_TASK,
-    ABORT_TASK_SET,
-    CLEAR_ACA,
-    CLEAR_TASK_SET,
-    LOGICAL_UNIT_RESET,
-    TARGET_WARM_RESET,
-    TARGET_COLD_RESET,
-    TASK_REASSIGN,
-) = range(1, 9)
-(
-    FUNCTION_COMPLETE,
-    TASK_DOES_NOT_EXIST,
-    LUN_DOES_NOT_EXIST,
-    TASK_STILL_ALLEGIANT,
-    REASSIGNMENT_NOT_SUPPORTED,
-    FUNCTION_NOT_SUPPORTED,
-) = range(6)
 
 
 class SessionEndedError(ConnectionError):
     """A connection cannot be added to a session that has ended or is about to end."""
 
 
-class SessionFront(CommandFront, Protocol):
+class SessionFront(TaskManagerFront, Protocol):
     """The front of a session; see `portal.IscsiFront`."""
 
-    def tasks_of_lun(self, lun: int | None) -> list[Task]:
-        """Returns the tasks of all sessions at a LUN."""
-        ...
-
-    def all_tasks(self) -> list[Task]:
-        """Returns the tasks of all sessions."""
-        ...
-
-    def abort_task(self, task: Task) -> None:
-        """Ends a task of any session without a response."""
-        ...
-
-    def end_sessions(self) -> None:
-        """Ends all sessions."""
-        ...
-
     def remove_session(self, session: Session) -> None:
         """Removes a session that has ended."""
         ...
@@ -114,6 +78,8 @@
         self.tasks: dict[int, Task] = {}
         self.nexus = Nexus(self.initiator + "," + self.isid.hex(), front.device)
         self.runner = TaskRunner(self)
+        self._text_requests = TextRequestHandler(front.config, self.initiator, self.target, self.discovery)
+        self._task_manager = TaskManager(self)
         self.ended = self.ends_when_idle = False
         # of ended connections whose tasks may be reassigned, the earliest expiry first
         self._retention_timers: dict[Allegiance, asyncio.TimerHandle] = {}
@@ -357,9 +323,9 @@
         ):
             # A single connection at level 0 delivers in order, so the missing command will never arrive.
             raise PduError(PduError.PROTOCOL, "gap in CmdSN on a single connection", pdu)
-        self._dispatch_in_order()
+        self.dispatch_in_order()
 
-    def _dispatch_in_order(self) -> None:
+    def dispatch_in_order(self) -> None:
         """Processes the received PDUs that are next in the order of CmdSN.
 
         One that breaks the protocol ends the connection that received it.
@@ -413,11 +379,11 @@
             if pdu.opcode == Op.NOP_OUT:
                 self._receive_nop_out(allegiance.connection, pdu)
             else:
-                self._receive_text(allegiance.connection, pdu)
+                self._text_requests.receive(allegiance.connection, pdu)
         elif self.discovery:
             raise PduError(PduError.PROTOCOL, "SCSI command or task management in a discovery session", pdu)
         elif pdu.opcode == Op.TASK_MANAGEMENT:
-            self._manage_tasks(allegiance, pdu)
+            self._task_manager.execute(allegiance, pdu)
         else:
             self.runner.receive_command(allegiance, pdu)
 
@@ -430,80 +396,7 @@
             data = pdu.data[: connection.agreed.send_segment]
             connection.send(Pdu(Op.NOP_IN, lun=pdu.lun, tag=pdu.tag, words=words, data=data), status=True)
 
-    # Text and logout
-
-    def _receive_text(self, connection: InitiatorConnection, pdu: Pdu) -> None:
-        """Answers a text request, or sends the next part of an answer.
-
-        RFC 7143, sections 11.10 and 11.11.
-        """
-        exchange = connection.text_exchange
-        transfer_tag = None if pdu.words[0] == RESERVED_TAG else pdu.words[0]
-        part = exchange.next_part(transfer_tag, connection.agreed.send_segment) if not pdu.data else None
-        if part is not None:
-            self._send_text(connection, pdu, part)
-            return
-        try:
-            text = exchange.receive(transfer_tag, pdu.data, bool(pdu.flags & CONTINUE))
-            if text is None:
-                self._send_text(connection, pdu, exchange.request_rest(), flags=0)
-                return
-            answers = self._answers_to_text(connection, parse_text(text))
-        except (TextExchangeError, NegotiationError) as error:
-            raise PduError(PduError.PROTOCOL, str(error), pdu) from None
-        # The request may have changed the length of a segment.
-        part = exchange.first_part(pack_text(answers), connection.agreed.send_segment)
-        self._send_text(connection, pdu, part)
-
-    def _answers_to_text(self, connection: InitiatorConnection, pairs: TextPairs) -> TextPairs:
-        """Returns the answers to the keys of a text request."""
-        answers: TextPairs = []
-        negotiable = [(key, value) for key, value in pairs if key != "SendTargets"]
-        for key, value in pairs:
-            if key == "SendTargets":
-                answers += self._visible_targets(connection, value)
-        responder = Responder(self.front.config.target_preferences, leading=False)
-        answers += [
-            (key, value)
-            for key, value in responder.answer(negotiable)
-            if key != "MaxRecvDataSegmentLength" or value == "Reject"
-        ]
-        if (
-            "MaxRecvDataSegmentLength" in dict(negotiable)
-            and ("MaxRecvDataSegmentLength", "Reject") not in answers
-        ):
-            segment_bytes = responder.parameters.send_segment
-            connection.agreed = replace(connection.agreed, send_segment=segment_bytes)
-        return answers
-
-    def _send_text(
-        self, connection: InitiatorConnection, pdu: Pdu, part: TextPart, flags: int | None = None
-    ) -> None:
-        """Sends a part of an answer, with the flags that it implies unless others are given."""
-        if flags is None:
-            flags = FINAL if part.transfer_tag is None else CONTINUE
-        words = [RESERVED_TAG if part.transfer_tag is None else part.transfer_tag, 0, 0, 0, 0, 0, 0]
-        connection.send(
-            Pdu(Op.TEXT_RESPONSE, flags, lun=pdu.lun, tag=pdu.tag, data=part.data, words=words), status=True
-        )
-
-    def _visible_targets(self, connection: InitiatorConnection, value: str) -> list[tuple[str, str]]:
-        """Returns the answer to SendTargets: the requested targets that this initiator may log in to.
-
-        RFC 7143, Appendix C.
-        """
-        host, port = connection.writer.get_extra_info("sockname")[:2]
-        host = f"[{host}]" if ":" in host else host
-        pairs: list[tuple[str, str]] = []
-        for rule in self.front.config.targets.values():
-            requested = value == "All" and self.discovery or value in ("", rule.name)
-            if (
-                requested
-                and rule.admits(self.initiator)
-                and (value != "" or rule.name == self.target or self.discovery)
-            ):
-                pairs += [("TargetName", rule.name), ("TargetAddress", f"{host}:{port},1")]
-        return pairs
+    # Logout
 
     def _receive_logout(self, allegiance: Allegiance, pdu: Pdu) -> None:
         """Executes a logout request and sends its response (RFC 7143, sections 11.14 and 11.15).
@@ -533,69 +426,7 @@
             self._log_out(logged_out, keeps_tasks=reason == REMOVE_FOR_RECOVERY)
             self._end_if_nothing_recovers()
 
-    # Task management
-
-    def _manage_tasks(self, allegiance: Allegiance, pdu: Pdu) -> None:
-        """Executes a task management request and sends its response (RFC 7143, sections 11.5 and 11.6).
-
-        An aborted task gets no SCSI Response, and whether its command had an effect is unknown.
-        """
-        function, lun = pdu.flags & 0x7F, unpack_lun(pdu.lun)
-        response, tasks_to_abort = FUNCTION_COMPLETE, list[Task]()
-        if function == ABORT_TASK:
-            response, tasks_to_abort = self._abort_referenced_task(pdu)
-        elif function in (ABORT_TASK_SET, CLEAR_TASK_SET, LOGICAL_UNIT_RESET):
-            if lun not in self.front.config.luns:
-                response = LUN_DOES_NOT_EXIST
-            elif function == ABORT_TASK_SET:
-                tasks_to_abort = [task for task in self.tasks.values() if task.command.lun == lun]
-            else:
-                tasks_to_abort = self.front.tasks_of_lun(lun)
-        elif function in (TARGET_WARM_RESET, TARGET_COLD_RESET):
-            tasks_to_abort = self.front.all_tasks()
-        elif function == TASK_REASSIGN:
-            response = self.runner.reassign(allegiance, pdu)
-        else:
-            response = FUNCTION_NOT_SUPPORTED
-        for task in [task for task in tasks_to_abort if task.status is None]:
-            self.front.counters["commands.aborted"] += 1
-            self.front.abort_task(task)
-        if response == FUNCTION_COMPLETE and function in (
-            CLEAR_TASK_SET,
-            LOGICAL_UNIT_RESET,
-            TARGET_WARM_RESET,
-            TARGET_COLD_RESET,
-        ):
-            luns = (
-                list(self.front.config.luns)
-                if function in (TARGET_WARM_RESET, TARGET_COLD_RESET)
-                else [lun or 0]
-            )
-            self.front.device.report_reset(self.nexus, luns, cleared=function == CLEAR_TASK_SET)
-        allegiance.send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
-        if function == TARGET_COLD_RESET:
-            self.front.end_sessions()
-
-    def _abort_referenced_task(self, pdu: Pdu) -> tuple[int, list[Task]]:
-        """Executes ABORT TASK (RFC 7143, sections 11.5.1 and 11.6.1).
-
-        A command that has not been received, but whose CmdSN lies in the command window, counts as received
-        and aborted: a placeholder takes its number.
-
-        Returns:
-            The response code, and the tasks to abort.
-        """
-        task = self.tasks.get(pdu.words[0])
-        if task is not None and task.status is None:
-            return FUNCTION_COMPLETE, [task]
-        cmd_sn = pdu.words[3]
-        distance = serial_distance(cmd_sn, self.window.exp_cmd_sn)
-        if task is None and 0 <= distance < self.window.size and cmd_sn not in self.window.pending:
-            placeholder = Pdu(Op.NOP_OUT, tag=RESERVED_TAG, words=[RESERVED_TAG, cmd_sn, 0, 0, 0, 0, 0])
-            self.window.receive(cmd_sn, ReceivedPdu(Allegiance(0, connection=None), placeholder))
-            self._dispatch_in_order()
-            return FUNCTION_COMPLETE, []
-        return TASK_DOES_NOT_EXIST, []
+    # Tasks
 
     def abort(self, task: Task) -> None:
         """Ends a task without a response.
--- a/tests/integration/test_iscsi_connection_ends.py
+++ b/tests/integration/test_iscsi_connection_ends.py
@@ -9,7 +9,8 @@
 from test_iscsi_rude import READ_CDB, IscsiFrontCase
 
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu
-from lemonridge.iscsi.session import REMOVE_FOR_RECOVERY, TASK_REASSIGN
+from lemonridge.iscsi.session import REMOVE_FOR_RECOVERY
+from lemonridge.iscsi.task_management import TASK_REASSIGN
 from lemonridge.lab.conform.peer import Peer
 
 WRITE_CDB = b"\x2a" + bytes(6) + b"\0\x08\0"
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -11,14 +11,12 @@
 from lemonridge.iscsi.session import (
     CLOSE_CONNECTION,
     CLOSE_SESSION,
-    FUNCTION_COMPLETE,
-    LOGICAL_UNIT_RESET,
     LOGOUT_DONE,
     MAX_RETAINED_CONNECTIONS,
     REMOVE_FOR_RECOVERY,
-    TASK_REASSIGN,
     SessionEndedError,
 )
+from lemonridge.iscsi.task_management import FUNCTION_COMPLETE, LOGICAL_UNIT_RESET, TASK_REASSIGN
 from lemonridge.lab.conform.peer import Peer
 
 
--- a/tests/iscsi/test_random_endings.py
+++ b/tests/iscsi/test_random_endings.py
@@ -13,13 +13,8 @@
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.numbers import serial_distance
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu, read_pdu
-from lemonridge.iscsi.session import (
-    CLOSE_CONNECTION,
-    FUNCTION_COMPLETE,
-    LOGOUT_DONE,
-    REMOVE_FOR_RECOVERY,
-    TASK_REASSIGN,
-)
+from lemonridge.iscsi.session import CLOSE_CONNECTION, LOGOUT_DONE, REMOVE_FOR_RECOVERY
+from lemonridge.iscsi.task_management import FUNCTION_COMPLETE, TASK_REASSIGN
 from lemonridge.lab.conform.peer import Peer
 
 STEPS = 120
