Let PREEMPT AND ABORT leave a stopping session idle

What callers saw: nothing on its own that we know of. After SIGTERM, a PREEMPT AND ABORT that aborted the last command of another session raised an error in the front; by reading, not played, the command itself was then not answered.

Cause: the session that became idle ended and left the table of sessions while the abort went over it.

Evidence: the new test got "RuntimeError: dictionary changed size during iteration" before.

Change: the abort goes over a copy, as the other loops that may end sessions do.

Result: tests/iscsi pass.

--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -264,7 +264,7 @@
 
     def _abort_nexus_tasks(self, nexus: str, lun: int) -> None:
         """Aborts the tasks of a nexus at a LUN, for PREEMPT AND ABORT."""
-        for session in self.sessions.values():
+        for session in list(self.sessions.values()):  # a session that becomes idle may end
             if session.nexus.name == nexus:
                 for task in [task for task in session.tasks.values() if task.command.lun == lun]:
                     session.abort(task)
--- a/lemonridge/iscsi/task_management.py
+++ b/lemonridge/iscsi/task_management.py
@@ -138,11 +138,7 @@
             return FUNCTION_COMPLETE, [task]
         window, cmd_sn = self._session.window, pdu.words[3]
         distance = serial_distance(cmd_sn, window.exp_cmd_sn)
-        if (
-            task is None
-            and 0 <= distance < self._session.window.size
-            and cmd_sn not in self._session.window.pending
-        ):
+        if task is None and 0 <= distance < window.size and cmd_sn not in window.pending:
             placeholder = Pdu(Op.NOP_OUT, tag=RESERVED_TAG, words=[RESERVED_TAG, cmd_sn, 0, 0, 0, 0, 0])
             window.receive(cmd_sn, ReceivedPdu(Allegiance(0, connection=None), placeholder))
             self._session.dispatch_in_order()
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -307,3 +307,16 @@
         (new_timer,) = self.session_of(steady)._retention_timers.values()
         self.assertTrue(timer.cancelled())
         self.assertGreater(new_timer.when(), timer.when())
+
+
+class StoppingSessions(FrontCase):
+    # Guards against a PREEMPT AND ABORT that fails: the session that it leaves idle ends, and left the table
+    # of sessions while that was gone over.
+    async def test_abort_of_a_nexus_may_end_its_session(self) -> None:
+        holder, other = await self.open_session(level=1), await self.open_session(level=1)
+        session = self.session_of(holder)
+        await self.start_command(holder)
+        session.end_when_idle()
+        self.front._abort_nexus_tasks(session.nexus.name, 0)
+        self.assertTrue(session.ended)
+        self.assertEqual(list(self.front.sessions.values()), [self.session_of(other)])
