Tell the numbers of a session to a login that joins it only once it has succeeded

Cause: since each response to a login that names a session has its ExpCmdSN and MaxCmdSN, also before the authentication. Read in the change, no failure was seen.

Change: they stand in the response of a login that has succeeded; earlier ones echo the request, as for a new session.

--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -16,6 +16,7 @@
 from lemonridge.iscsi.numbers import StatusLog
 from lemonridge.iscsi.pdu import (
     RESERVED_TAG,
+    UINT32_MASK,
     DataDigestError,
     HeaderDigestError,
     Op,
@@ -67,8 +68,8 @@
         """Returns the TSIH for the last login response."""
         ...
 
-    def command_numbers_for(self, login: TargetLogin, cmd_sn: int) -> tuple[int, int]:
-        """Returns ExpCmdSN and MaxCmdSN for a login response."""
+    def joined_command_numbers(self, login: TargetLogin) -> tuple[int, int] | None:
+        """Returns ExpCmdSN and MaxCmdSN of the session that a login joins; None if it opens one."""
         ...
 
     def admit(self, connection: InitiatorConnection, login: TargetLogin) -> ConnectionOwner:
@@ -220,10 +221,12 @@
                     "login refused",
                     extra={"peer": self.peer, "status": f"{reply.status:#06x}", "why": login.refusal_reason},
                 )
-            lun = pdu.lun
+            lun, exp_cmd_sn = pdu.lun, self.login_cmd_sn
+            max_cmd_sn = (exp_cmd_sn + front.config.queue_depth - 1) & UINT32_MASK
             if reply.login_ended and not reply.status:
                 lun = lun[:6] + front.tsih_for(login).to_bytes(2, "big")
-            exp_cmd_sn, max_cmd_sn = front.command_numbers_for(login, self.login_cmd_sn)
+                if (joined_numbers := front.joined_command_numbers(login)) is not None:
+                    exp_cmd_sn, max_cmd_sn = joined_numbers
             response = Pdu(
                 Op.LOGIN_RESPONSE,
                 reply.flags,
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -19,7 +19,7 @@
 from lemonridge.iscsi.device import Device, Nexus
 from lemonridge.iscsi.login import ExistingSession, FailedLoginLimiter, LoginPolicy, TargetLogin
 from lemonridge.iscsi.mapped import MappedLuns
-from lemonridge.iscsi.pdu import UINT32_MASK, keep_alive
+from lemonridge.iscsi.pdu import keep_alive
 from lemonridge.iscsi.reservation_file import ReservationFile
 from lemonridge.iscsi.session import Session, SessionEndedError
 from lemonridge.iscsi.task import Task
@@ -174,19 +174,17 @@
             login.tsih = self._last_tsih
         return login.tsih
 
-    def command_numbers_for(self, login: TargetLogin, cmd_sn: int) -> tuple[int, int]:
-        """Returns ExpCmdSN and MaxCmdSN for a login response.
-
-        They are those of the session to join; for a new session they begin with the login request's CmdSN.
+    def joined_command_numbers(self, login: TargetLogin) -> tuple[int, int] | None:
+        """Returns ExpCmdSN and MaxCmdSN of the session that a login joins.
 
         Args:
-            login: The login.
-            cmd_sn: CmdSN of the first login request.
+            login: A login that has succeeded.
+
+        Returns:
+            The numbers; None if the login opens a session, or the session has ended.
         """
         joined = self.sessions.get(login.tsih) if login.existing_session is not None else None
-        if joined is not None:
-            return joined.command_numbers()
-        return cmd_sn, (cmd_sn + self.config.queue_depth - 1) & UINT32_MASK
+        return joined.command_numbers() if joined is not None else None
 
     def admit(self, connection: InitiatorConnection, login: TargetLogin) -> Session:
         """Adds a connection whose login has succeeded to a new session or to the one that it joins.
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -116,6 +116,15 @@
         response = await joining.login_step(FINAL | 1 << 2 | 3, joining.login_keys())
         self.assertEqual(response.words[2:4], [exp_cmd_sn, max_cmd_sn])
 
+    async def test_login_that_has_not_succeeded_is_told_no_numbers_of_the_session(self) -> None:
+        peer = await self.open_session(level=2)
+        await self.start_command(peer)
+        joining = await self.connect(peer.isid)
+        joining.tsih, joining.cid, joining.cmd_sn = peer.tsih, 1, 40
+        keys = joining.login_keys(AuthMethod="None")
+        response = await joining.login_step(FINAL | 1, keys)  # from the security to the operational stage
+        self.assertEqual(response.words[2:5], [40, 40 + self.front.config.queue_depth - 1, 0])
+
     # Guards against statuses that are kept though the initiator has acknowledged them: the login that
     # restarts a connection carries the ExpStatSN of the lost one (RFC 7143, section 11.12.9).
     async def test_login_that_restarts_a_connection_acknowledges_its_statuses(self) -> None:
