Remove the iSCSI session's unused logger and a detour by its runner

Found in reading the whole change once more: session.py had a logger that it does not use, and released an acknowledged task by a method of the runner that called the session back. Behaviour stays as it is.

--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -413,14 +413,6 @@
             )
         )
 
-    def release_acknowledged(self, task: Task) -> None:
-        """Removes a task whose status the initiator has acknowledged, so that no SNACK can request it again.
-
-        Args:
-            task: The task.
-        """
-        self._session.remove_task(task)
-
     # Recovery
 
     def handle_snack(self, connection: InitiatorConnection, pdu: Pdu) -> None:
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import Protocol
 
 from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection, ReceivedPdu
@@ -20,8 +19,6 @@
 from lemonridge.iscsi.task_management import TaskManager, TaskManagerFront
 from lemonridge.iscsi.text_requests import TextRequestHandler
 
-log = logging.getLogger(__name__)
-
 MAX_RETAINED_CONNECTIONS = 16  # of a session, which have ended and whose tasks may still be reassigned
 ACCEPTED_OPCODES = frozenset((Op.NOP_OUT, Op.SCSI_COMMAND, Op.TASK_MANAGEMENT, Op.TEXT, Op.LOGOUT))
 # Logout reason and response codes (RFC 7143, sections 11.14.1 and 11.15.1)
@@ -342,7 +339,7 @@
         for status in statuses.acknowledge(exp_stat_sn):
             task = self.tasks.get(status.tag)
             if task is not None and task.status is status:
-                self.runner.release_acknowledged(task)
+                self.remove_task(task)
 
     def _resend_status(self, connection: InitiatorConnection, pdu: Pdu) -> None:
         """Handles a command that was received before (RFC 7143, section 7.2.1).
