Print the counters of clients and the wait for a processor beside a flood

The summary of a flood didn't tell a program that got no processor from one that closed a connection, so neither could be traced.

The summary now ends with the time for which the program was ready to run and had no processor (schedstat), and with its counters of clients and of rejected requests. No assertion is changed.

--- a/tests/integration/flood_cases.py
+++ b/tests/integration/flood_cases.py
@@ -131,8 +131,13 @@
         ordinary requests go to the other shards.
         """
         calm, _ = await self.beside(asyncio.sleep(CALM_S))
+        waited_before_s = self.processor_wait_s()
         beside, peak_mb = await self.beside(self.flood(kind, connections, seconds))
-        summary = f"{kind.value}: {beside.summary()} peak_mb={peak_mb} flood: {self.flood_counts}"
+        waited_s = self.processor_wait_s() - waited_before_s
+        summary = (
+            f"{kind.value}: {beside.summary()} peak_mb={peak_mb} flood: {self.flood_counts}"
+            f" program: waited_for_processor_s={waited_s:.2f} {await self.client_counters()}"
+        )
         print(summary)
         self.assertEqual((beside.late, beside.reset), ([], []), summary)
         self.assertLess(len(beside.refused), 0.02 * len(beside.served), summary)
@@ -170,6 +175,17 @@
         text = Path(f"/proc/{self.program.process.pid}/status").read_text()
         return int(text.partition("VmRSS:")[2].split()[0]) * 1024
 
+    def processor_wait_s(self) -> float:
+        """Returns how long the program was ready to run and had no processor, in seconds."""
+        _, waited_ns, _ = Path(f"/proc/{self.program.process.pid}/schedstat").read_text().split()
+        return int(waited_ns) / 1e9
+
+    async def client_counters(self) -> str:
+        """Returns what the program counted of its clients' connections and of rejected requests, as text."""
+        counters = await self.program.counters()
+        names = sorted(name for name in counters if name.startswith(("clients.", "rejected.")))
+        return " ".join(f"{name}={counters[name]}" for name in names)
+
     # Ordinary clients
 
     def ordinary_request(self) -> tuple[str, bytes, float]:
