Reset a new connection for another one only where the table is full

Cause: past a quarter of the sockets each new connection evicts another; where none was old enough, a new one that had sent nothing for 5 ms was reset, though half of the sockets are allowed. That resort is for a full table, where the newcomer would be turned away otherwise.

--- a/lemonridge/net/connection_table.py
+++ b/lemonridge/net/connection_table.py
@@ -24,7 +24,7 @@
 CLOSE_GRACE_S = 0.5  # from the end of the output to the close, for the client to read and close its side
 FIRST_BYTES_GRACE_S = 0.1  # for the first request of a connection opened just before the stop
 ROOM_WAIT_MAX_S = 0.1  # of new connections while no other one can be evicted
-SILENT_NEW_AGE_S = 0.005  # of a new connection that is evicted if there is no other one to evict
+SILENT_NEW_AGE_S = 0.005  # of a new connection that is evicted where the next one would be turned away
 SWEEP_INTERVAL_S = 0.25
 EVICTION_CANDIDATES_MAX = 8  # connections examined per state, to bound the cost with many connections
 
@@ -209,19 +209,32 @@
         self.set_state(connection, ConnectionState.NEW)
         if len(self) <= self._sockets_max * EVICTION_FRACTION:
             return
-        if not self._evict_one() and len(self) > self._sockets_max * CLIENTS_MAX_FRACTION:
+        if not self._evict_one() and self._is_full:
             self._turn_away(connection)
 
+    @property
+    def _is_full(self) -> bool:
+        """Whether there are so many connections that new ones are turned away."""
+        return len(self) > self._sockets_max * CLIENTS_MAX_FRACTION
+
     def _evict_one(self) -> bool:
-        """Ends a connection without a request in it; returns whether there was one."""
-        now_s = self._loop.time()
-        for state, eviction_age_s in (*EVICTION_AGE_S.items(), (ConnectionState.NEW, SILENT_NEW_AGE_S)):
-            for candidate in self._eviction_candidates(state, now_s - eviction_age_s):
-                if _may_be_evicted(candidate, state):
-                    self._evict(candidate, state)
-                    self._skipped_candidates[state] = 0
-                    return True
-                self._skipped_candidates[state] += 1
+        """Ends a connection without a request in it; returns whether there was one.
+
+        The request of a new connection may be in transit, so only a full table asks for one within
+        `SILENT_NEW_AGE_S`: below that there is room to wait for it.
+        """
+        if any(self._evict_of_state(state, age_s) for state, age_s in EVICTION_AGE_S.items()):
+            return True
+        return self._is_full and self._evict_of_state(ConnectionState.NEW, SILENT_NEW_AGE_S)
+
+    def _evict_of_state(self, state: ConnectionState, eviction_age_s: float) -> bool:
+        """Ends one of the connections that have been in a state for a time; returns whether there was one."""
+        for candidate in self._eviction_candidates(state, self._loop.time() - eviction_age_s):
+            if _may_be_evicted(candidate, state):
+                self._evict(candidate, state)
+                self._skipped_candidates[state] = 0
+                return True
+            self._skipped_candidates[state] += 1
         return False
 
     def _eviction_candidates(self, state: ConnectionState, entered_before_s: float) -> list[TableEntry]:
--- a/tests/net/test_connection_table.py
+++ b/tests/net/test_connection_table.py
@@ -13,6 +13,7 @@
     EVICTION_AGE_S,
     EVICTION_CANDIDATES_MAX,
     ROOM_WAIT_MAX_S,
+    SILENT_NEW_AGE_S,
     ConnectionState,
     ConnectionTable,
 )
@@ -85,6 +86,25 @@
         self.assertIsNone(idle.state)
         self.assertEqual(self.counters["clients.evicted.idle"], 1)
 
+    # Guards against new connections of ordinary clients that were reset beside slow readers, with room left.
+    async def test_new_connection_is_not_reset_for_another_one_while_there_is_room(self) -> None:
+        for _ in range(SOCKETS // 4):
+            self.connect(ConnectionState.SERVING)
+        new = self.connect(age_s=EVICTION_AGE_S[ConnectionState.NEW] / 2)
+        while len(self.table) < SOCKETS // 2:
+            self.connect(ConnectionState.SERVING)
+        self.assertIs(new.state, ConnectionState.NEW)
+        self.assertEqual(self.counters["clients.evicted"], 0)
+
+    async def test_silent_new_connection_makes_room_before_another_one_is_turned_away(self) -> None:
+        for _ in range(SOCKETS // 2 - 1):
+            self.connect(ConnectionState.SERVING)
+        new = self.connect(age_s=2 * SILENT_NEW_AGE_S)
+        self.connect(ConnectionState.SERVING)
+        self.assertIsNone(new.state)
+        self.assertEqual(self.counters["clients.evicted.new"], 1)
+        self.assertEqual(self.counters["clients.turned_away"], 0)
+
     async def test_request_of_a_connection_past_the_limit_gets_a_rejection(self) -> None:
         for _ in range(SOCKETS // 2):
             self.connect(ConnectionState.SERVING)
