Run the tests that judge latencies or rates in real time one at a time

The floods' counts show a machine at a tenth to a quarter of its usual pace (622 unsound trailers and 8,950 probes in 3 s; 6,628 and 36,788 here alone). Each of these tests needs a processor for the program, one for its clients and nodes and one for the flood, and three other test processes ran beside it.

--- a/tests/integration/test_fleet_live.py
+++ b/tests/integration/test_fleet_live.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import pytest
+
 from lemonridge.config.address import Address
 from lemonridge.fleet.datagrams import DatagramHeader, LoanGrant, LoanRequest, MemberState, Ping, encode
 from lemonridge.fleet.member_list import MemberList
@@ -19,6 +21,8 @@
 from lemonridge.lab.rig import FleetHarness, SiteSettings, running_fleet
 from lemonridge.net.admin_client import fetch_fleet_views
 
+pytestmark = pytest.mark.serial
+
 SITE = SiteSettings()
 SHARDS = (0, 1)
 LIMIT_RATE = SITE.limit / 1.5  # requests a second that use the limit completely
--- a/tests/integration/test_floods.py
+++ b/tests/integration/test_floods.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
 from flood_cases import SOCKETS, FloodCase
 
 from lemonridge.lab.load.floods import FloodKind
 from lemonridge.service.platform import VOLUME_BYTES, VOLUMES_MEMORY_FRACTION
 
+pytestmark = pytest.mark.serial
+
 
 class FloodsOfOneClient(FloodCase):
     """One client misuses a few connections at full speed."""
--- a/tests/integration/test_iscsi.py
+++ b/tests/integration/test_iscsi.py
@@ -7,6 +7,7 @@
 import struct
 from random import Random
 
+import pytest
 from harness import TIMEOUT_S, Initiator, IscsiCase, Target, cdb
 
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu, pack_text, read_pdu, unpack_text
@@ -316,6 +317,7 @@
 READS = 30
 
 
+@pytest.mark.serial
 class SlowInitiators(IscsiCase):
     """Initiators that read their data slowly, or not at all."""
 
--- a/tests/integration/test_platform_bodies.py
+++ b/tests/integration/test_platform_bodies.py
@@ -7,10 +7,13 @@
 import select
 import signal
 
+import pytest
 from harness import TIMEOUT_S, Client, Message, PlatformCase, Server, reply, serve_ok
 
 from lemonridge.net.http_chunks import ChunkedBodyDecoder
 
+pytestmark = pytest.mark.serial
+
 LONG_BODY = os.urandom(1 << 20) * 8  # 8 MiB
 MEMORY_MAX_BYTES = 192 << 20  # DEPLOY: the limits reach at most 192 MB
 
--- a/tests/integration/test_process_handover.py
+++ b/tests/integration/test_process_handover.py
@@ -11,6 +11,7 @@
 import tempfile
 from pathlib import Path
 
+import pytest
 from fault_cases import sleep_until
 from harness import (
     PLATFORM_SETTINGS,
@@ -28,6 +29,8 @@
 )
 from test_operators import call
 
+pytestmark = pytest.mark.serial
+
 LIMIT_UNITS = 8.0  # the limit in units a second, and the burst in units
 
 
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -5,9 +5,13 @@
 import asyncio
 import unittest
 
+import pytest
+
 from lemonridge.lab.drills import soak
 from lemonridge.lab.soak_mutants import MUTANTS
 
+pytestmark = pytest.mark.serial
+
 SEEDS, DURATION_S = (1, 2), 8.0
 # A fault is found in half of the runs or more; the first run that finds it ends the search.
 MUTANT_SEEDS = (5, 6, 7, 4, 2, 8)
