Name the functions and the results of iSCSI task management as enums

TaskRunner.reassign returned the bare numbers 0, 1, 3 and 4, and the codes stood as module constants in a module that the runner cannot import.

ManagementFunction and ManagementResponse now stand beside the other codes of the wire in pdu.py, with the same numbers. TaskManager.execute is split into what a function aborts, what is reported of it, and the response. The bound on a text, which stood three times, is one constant in keys.py.

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -19,6 +19,7 @@
 from lemonridge.iscsi import chap, scsi, versions
 from lemonridge.iscsi.config import IscsiConfig
 from lemonridge.iscsi.keys import (
+    TEXT_MAX_BYTES,
     NegotiatedParameters,
     NegotiationError,
     TextPairs,
@@ -32,7 +33,6 @@
     FINAL,
     MAX_DATA_SEGMENT_BYTES,
     RESERVED_TAG,
-    TEXT_MAX_BYTES,
     UINT32_MASK,
     DataDigestError,
     HeaderDigestError,
--- a/lemonridge/iscsi/keys.py
+++ b/lemonridge/iscsi/keys.py
@@ -17,6 +17,7 @@
 RESERVED_VALUES = frozenset((NOT_UNDERSTOOD, REJECT, IRRELEVANT))
 KEY_NAME_MAX, VALUE_MAX_BYTES = 63, 255  # length of a key name and of a simple value (RFC 7143, 6.1)
 SEGMENT_LENGTH_MAX = 2**24 - 1  # bytes
+TEXT_MAX_BYTES = 16 * 1024  # keys of one text, which may be split over several PDUs
 
 
 class NegotiationType(Enum):
--- a/lemonridge/iscsi/login.py
+++ b/lemonridge/iscsi/login.py
@@ -23,7 +23,6 @@
 from lemonridge.iscsi.pdu import CONTINUE, FINAL, Pdu, pack_text
 
 SECURITY, OPERATIONAL, FULL_FEATURE = 0, 1, 3
-TEXT_MAX_BYTES = 16 * 1024  # text of one exchange
 RESPONSE_DATA_MAX_BYTES = 8192  # data segment of one login response
 # Status-Class and Status-Detail of a login response (RFC 7143, 11.13.5)
 INITIATOR_ERROR, AUTHENTICATION_FAILURE, AUTHORIZATION_FAILURE, NOT_FOUND, UNSUPPORTED_VERSION = (
@@ -213,7 +212,7 @@
                 raise _RefusedError(INVALID_DURING_LOGIN, "data sent before the response is complete")
             return self._reply(stage)
         self._received_text += pdu.data
-        if len(self._received_text) > TEXT_MAX_BYTES:
+        if len(self._received_text) > keys.TEXT_MAX_BYTES:
             raise _RefusedError(INVALID_DURING_LOGIN, "text is too long")
         if pdu.flags & CONTINUE:
             return LoginReply(stage << 2)
--- a/lemonridge/iscsi/pdu.py
+++ b/lemonridge/iscsi/pdu.py
@@ -21,7 +21,6 @@
 RESERVED_TAG = 0xFFFFFFFF  # value of a task tag or transfer tag field that identifies nothing
 UINT32_MASK = 0xFFFFFFFF  # keeps a sum within the 32 bits of a serial number on the wire
 FINAL, CONTINUE = 0x80, 0x40  # F (or T) and C bits of the flags byte
-TEXT_MAX_BYTES = 16 * 1024  # text keys of one exchange
 MAX_DATA_SEGMENT_BYTES = 64 * 1024  # data segment that this program accepts, as target and as initiator
 
 
@@ -48,6 +47,30 @@
     REJECT = 0x3F
 
 
+class ManagementFunction(IntEnum):
+    """The functions of a Task Management Function Request (RFC 7143, 11.5.1)."""
+
+    ABORT_TASK = 1
+    ABORT_TASK_SET = 2
+    CLEAR_ACA = 3
+    CLEAR_TASK_SET = 4
+    LOGICAL_UNIT_RESET = 5
+    TARGET_WARM_RESET = 6
+    TARGET_COLD_RESET = 7
+    TASK_REASSIGN = 8
+
+
+class ManagementResponse(IntEnum):
+    """The results of a task management function (RFC 7143, 11.6.1)."""
+
+    FUNCTION_COMPLETE = 0
+    TASK_DOES_NOT_EXIST = 1
+    LUN_DOES_NOT_EXIST = 2
+    TASK_STILL_ALLEGIANT = 3
+    REASSIGNMENT_NOT_SUPPORTED = 4
+    FUNCTION_NOT_SUPPORTED = 5
+
+
 class HeaderDigestError(Exception):
     """The digest of a received header does not match.
 
--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -20,7 +20,7 @@
 from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS, Device, Nexus
 from lemonridge.iscsi.keys import NegotiatedParameters
 from lemonridge.iscsi.mapped import MappedLuns, make_request, reply_from_answer, request_class_of
-from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu, PduError, unpack_lun
+from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, ManagementResponse, Op, Pdu, PduError, unpack_lun
 from lemonridge.iscsi.task import Task
 from lemonridge.iscsi.task_order import TaskOrder
 from lemonridge.iscsi.transfer import DataInPdu, Inbound, Outbound, ReadyToTransfer, TransferError
@@ -459,7 +459,7 @@
                 return
         connection.reject(pdu, PduError.SNACK)
 
-    def reassign(self, allegiance: Allegiance, pdu: Pdu) -> int:
+    def reassign(self, allegiance: Allegiance, pdu: Pdu) -> ManagementResponse:
         """Reassigns a task whose connection was lost to another connection (RFC 7143, sections 7.4 and 11.5).
 
         The command is not executed again: it kept running without a connection, and its reply was kept.
@@ -469,22 +469,21 @@
             pdu: The TASK REASSIGN request.
 
         Returns:
-            The response code (section 11.6.1): 0 function complete, 1 task does not exist, 3 task still
-            allegiant, 4 task allegiance reassignment not supported.
+            The result of the function.
         """
         if self._session.agreed.recovery_level < 2:
-            return 4
+            return ManagementResponse.REASSIGNMENT_NOT_SUPPORTED
         task = self._session.tasks.get(pdu.words[0])
         if task is None:
-            return 1
+            return ManagementResponse.TASK_DOES_NOT_EXIST
         if task.connection is not None:
-            return 3
+            return ManagementResponse.TASK_STILL_ALLEGIANT
         self._front.counters["tasks.reassigned"] += 1
         task.allegiance = allegiance
         # The task management response is sent before anything else of the task on the new connection.
         has_reply = task.reply is not None
         self._front.loop.call_soon(self._resume, task, allegiance, pdu.words[4], has_reply)
-        return 0
+        return ManagementResponse.FUNCTION_COMPLETE
 
     def _resume(self, task: Task, allegiance: Allegiance, exp_data_sn: int, has_reply: bool) -> None:
         """Continues a reassigned task on its new connection.
--- a/lemonridge/iscsi/task_management.py
+++ b/lemonridge/iscsi/task_management.py
@@ -7,29 +7,25 @@
 from lemonridge.iscsi.allegiance import Allegiance, ReceivedPdu
 from lemonridge.iscsi.device import Nexus
 from lemonridge.iscsi.numbers import CommandWindow, serial_distance
-from lemonridge.iscsi.pdu import RESERVED_TAG, Op, Pdu, unpack_lun
+from lemonridge.iscsi.pdu import (
+    RESERVED_TAG,
+    ManagementFunction,
+    ManagementResponse,
+    Op,
+    Pdu,
+    unpack_lun,
+)
 from lemonridge.iscsi.runner import CommandFront, TaskRunner
 from lemonridge.iscsi.task import Task
 
-# Task management function and response codes (RFC 7143, sections 11.5.1 and 11.6.1)
-(
-    ABORT_TASK,
-    ABORT_TASK_SET,
-    CLEAR_ACA,
-    CLEAR_TASK_SET,
-    LOGICAL_UNIT_RESET,
-    TARGET_WARM_RESET,
-    TARGET_COLD_RESET,
-    TASK_REASSIGN,
-) = range(1, 9)
-(
-    FUNCTION_COMPLETE,
-    TASK_DOES_NOT_EXIST,
-    LUN_DOES_NOT_EXIST,
-    TASK_STILL_ALLEGIANT,
-    REASSIGNMENT_NOT_SUPPORTED,
-    FUNCTION_NOT_SUPPORTED,
-) = range(6)
+TARGET_RESETS = frozenset((ManagementFunction.TARGET_WARM_RESET, ManagementFunction.TARGET_COLD_RESET))
+LUN_FUNCTIONS = frozenset(  # which name a LUN
+    (
+        ManagementFunction.ABORT_TASK_SET,
+        ManagementFunction.CLEAR_TASK_SET,
+        ManagementFunction.LOGICAL_UNIT_RESET,
+    )
+)
 
 
 class TaskManagerFront(CommandFront, Protocol):
@@ -89,42 +85,49 @@
             allegiance: The allegiance to the connection that received the request.
             pdu: The Task Management Function Request.
         """
-        session, front = self._session, self._session.front
-        function, lun = pdu.flags & 0x7F, unpack_lun(pdu.lun)
-        response, tasks_to_abort = FUNCTION_COMPLETE, list[Task]()
-        if function == ABORT_TASK:
-            response, tasks_to_abort = self._abort_referenced_task(pdu)
-        elif function in (ABORT_TASK_SET, CLEAR_TASK_SET, LOGICAL_UNIT_RESET):
-            if lun not in front.config.luns:
-                response = LUN_DOES_NOT_EXIST
-            elif function == ABORT_TASK_SET:
-                tasks_to_abort = [task for task in session.tasks.values() if task.command.lun == lun]
-            else:
-                tasks_to_abort = front.tasks_of_lun(lun)
-        elif function in (TARGET_WARM_RESET, TARGET_COLD_RESET):
-            tasks_to_abort = front.all_tasks()
-        elif function == TASK_REASSIGN:
-            response = session.runner.reassign(allegiance, pdu)
-        else:
-            response = FUNCTION_NOT_SUPPORTED
+        front, function = self._session.front, pdu.flags & 0x7F
+        response, tasks_to_abort = self._result(function, allegiance, pdu)
         for task in [task for task in tasks_to_abort if task.status is None]:
             front.counters["commands.aborted"] += 1
             front.abort_task(task)
-        if response == FUNCTION_COMPLETE and function in (
-            CLEAR_TASK_SET,
-            LOGICAL_UNIT_RESET,
-            TARGET_WARM_RESET,
-            TARGET_COLD_RESET,
-        ):
-            luns = (
-                list(front.config.luns) if function in (TARGET_WARM_RESET, TARGET_COLD_RESET) else [lun or 0]
-            )
-            front.device.report_reset(session.nexus, luns, cleared=function == CLEAR_TASK_SET)
+        if response is ManagementResponse.FUNCTION_COMPLETE:
+            self._report_reset(function, unpack_lun(pdu.lun))
         allegiance.send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
-        if function == TARGET_COLD_RESET:
+        if function == ManagementFunction.TARGET_COLD_RESET:
             front.end_sessions()
 
-    def _abort_referenced_task(self, pdu: Pdu) -> tuple[int, list[Task]]:
+    def _result(
+        self, function: int, allegiance: Allegiance, pdu: Pdu
+    ) -> tuple[ManagementResponse, list[Task]]:
+        """Returns the response to a request, and the tasks that it aborts, if they are still open."""
+        session, front, lun = self._session, self._session.front, unpack_lun(pdu.lun)
+        if function == ManagementFunction.ABORT_TASK:
+            return self._abort_referenced_task(pdu)
+        if function == ManagementFunction.TASK_REASSIGN:
+            return session.runner.reassign(allegiance, pdu), []
+        if function in TARGET_RESETS:
+            return ManagementResponse.FUNCTION_COMPLETE, front.all_tasks()
+        if function not in LUN_FUNCTIONS:
+            return ManagementResponse.FUNCTION_NOT_SUPPORTED, []
+        if lun not in front.config.luns:
+            return ManagementResponse.LUN_DOES_NOT_EXIST, []
+        if function == ManagementFunction.ABORT_TASK_SET:
+            own_tasks = [task for task in session.tasks.values() if task.command.lun == lun]
+            return ManagementResponse.FUNCTION_COMPLETE, own_tasks
+        return ManagementResponse.FUNCTION_COMPLETE, front.tasks_of_lun(lun)
+
+    def _report_reset(self, function: int, lun: int | None) -> None:
+        """Queues the unit attentions of a function that aborts tasks of several nexuses."""
+        front, is_clear = self._session.front, function == ManagementFunction.CLEAR_TASK_SET
+        if function in TARGET_RESETS:
+            luns = list(front.config.luns)
+        elif is_clear or function == ManagementFunction.LOGICAL_UNIT_RESET:
+            luns = [lun or 0]
+        else:
+            return
+        front.device.report_reset(self._session.nexus, luns, cleared=is_clear)
+
+    def _abort_referenced_task(self, pdu: Pdu) -> tuple[ManagementResponse, list[Task]]:
         """Executes ABORT TASK (RFC 7143, sections 11.5.1 and 11.6.1).
 
         A command that has not been received, but whose CmdSN lies in the command window, counts as received
@@ -135,12 +138,12 @@
         """
         task = self._session.tasks.get(pdu.words[0])
         if task is not None and task.status is None:
-            return FUNCTION_COMPLETE, [task]
+            return ManagementResponse.FUNCTION_COMPLETE, [task]
         window, cmd_sn = self._session.window, pdu.words[3]
         distance = serial_distance(cmd_sn, window.exp_cmd_sn)
         if task is None and 0 <= distance < window.size and cmd_sn not in window.pending:
             placeholder = Pdu(Op.NOP_OUT, tag=RESERVED_TAG, words=[RESERVED_TAG, cmd_sn, 0, 0, 0, 0, 0])
             window.receive(cmd_sn, ReceivedPdu(Allegiance(0, connection=None), placeholder))
             self._session.dispatch_in_order()
-            return FUNCTION_COMPLETE, []
-        return TASK_DOES_NOT_EXIST, []
+            return ManagementResponse.FUNCTION_COMPLETE, []
+        return ManagementResponse.TASK_DOES_NOT_EXIST, []
--- a/lemonridge/iscsi/text_exchange.py
+++ b/lemonridge/iscsi/text_exchange.py
@@ -8,8 +8,9 @@
 
 from dataclasses import dataclass
 
+from lemonridge.iscsi.keys import TEXT_MAX_BYTES
+
 TRANSFER_TAG_COUNT = 0xFFFF_FFFF  # the tag beyond is reserved (RFC 7143, section 11.10.4)
-TEXT_MAX_BYTES = 16 * 1024  # of one request
 
 
 class TextExchangeError(Exception):
--- a/tests/integration/test_iscsi_connection_ends.py
+++ b/tests/integration/test_iscsi_connection_ends.py
@@ -8,9 +8,8 @@
 from harness import TIMEOUT_S
 from test_iscsi_rude import READ_CDB, IscsiFrontCase
 
-from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu
+from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, ManagementFunction, Op, Pdu
 from lemonridge.iscsi.session import REMOVE_FOR_RECOVERY
-from lemonridge.iscsi.task_management import TASK_REASSIGN
 from lemonridge.lab.conform.peer import Peer
 
 WRITE_CDB = b"\x2a" + bytes(6) + b"\0\x08\0"
@@ -72,7 +71,7 @@
         logout.words[0] = 1 << 16  # the lost connection's CID
         third.send(logout)
         self.assertEqual((await third.receive(Op.LOGOUT_RESPONSE)).byte2, 0)
-        reassign = Pdu(Op.TASK_MANAGEMENT, FINAL | TASK_REASSIGN, tag=62, immediate=True)
+        reassign = Pdu(Op.TASK_MANAGEMENT, FINAL | ManagementFunction.TASK_REASSIGN, tag=62, immediate=True)
         reassign.words[0] = held_tag
         third.send(reassign)
         self.assertEqual((await third.receive(Op.TASK_MANAGEMENT_RESPONSE)).byte2, 0)
--- a/tests/iscsi/test_connection_ends.py
+++ b/tests/iscsi/test_connection_ends.py
@@ -7,7 +7,16 @@
 
 from front_cases import BLOCK_BYTES, READ_CDB, FrontCase
 
-from lemonridge.iscsi.pdu import CONTINUE, FINAL, RESERVED_TAG, Op, Pdu, pack_text
+from lemonridge.iscsi.pdu import (
+    CONTINUE,
+    FINAL,
+    RESERVED_TAG,
+    ManagementFunction,
+    ManagementResponse,
+    Op,
+    Pdu,
+    pack_text,
+)
 from lemonridge.iscsi.session import (
     CLOSE_CONNECTION,
     CLOSE_SESSION,
@@ -16,7 +25,6 @@
     REMOVE_FOR_RECOVERY,
     SessionEndedError,
 )
-from lemonridge.iscsi.task_management import FUNCTION_COMPLETE, LOGICAL_UNIT_RESET, TASK_REASSIGN
 from lemonridge.lab.conform.peer import Peer
 
 
@@ -35,12 +43,18 @@
         second = await self.join(steady, cid=2)
         await self.lose(first)
         first_expiry_s = asyncio.get_running_loop().time() + self.time2retain_s
-        self.assertEqual(await self.manage(second, TASK_REASSIGN, tag), FUNCTION_COMPLETE)
+        self.assertEqual(
+            await self.manage(second, ManagementFunction.TASK_REASSIGN, tag),
+            ManagementResponse.FUNCTION_COMPLETE,
+        )
         await self.until_time(first_expiry_s - 0.5)
         await self.lose(second)
         await self.until_time(first_expiry_s + 0.1)
         third = await self.join(steady, cid=3)
-        self.assertEqual(await self.manage(third, TASK_REASSIGN, tag), FUNCTION_COMPLETE)
+        self.assertEqual(
+            await self.manage(third, ManagementFunction.TASK_REASSIGN, tag),
+            ManagementResponse.FUNCTION_COMPLETE,
+        )
         self.broker.finished.set()
         self.assertEqual((await third.receive_response(tag))[0].byte3, 0)
         self.assertEqual(self.broker.request_count, 1)
@@ -179,7 +193,10 @@
                 tag = await self.start_command(peer)
                 task = self.session_of(peer).tasks[tag]
                 other = await self.open_session(level)
-                self.assertEqual(await self.manage(other, LOGICAL_UNIT_RESET), FUNCTION_COMPLETE)
+                self.assertEqual(
+                    await self.manage(other, ManagementFunction.LOGICAL_UNIT_RESET),
+                    ManagementResponse.FUNCTION_COMPLETE,
+                )
                 self.assertTrue(task.aborted)
                 status, _, sense = await peer.execute(READ_CDB, read=BLOCK_BYTES)
                 self.assertEqual((status, sense[12:14]), (2, b"\x29\x03"))
--- a/tests/iscsi/test_random_endings.py
+++ b/tests/iscsi/test_random_endings.py
@@ -12,9 +12,16 @@
 from lemonridge.core.model import Answer, Request
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.numbers import serial_distance
-from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, Op, Pdu, read_pdu
+from lemonridge.iscsi.pdu import (
+    FINAL,
+    RESERVED_TAG,
+    ManagementFunction,
+    ManagementResponse,
+    Op,
+    Pdu,
+    read_pdu,
+)
 from lemonridge.iscsi.session import CLOSE_CONNECTION, LOGOUT_DONE, REMOVE_FOR_RECOVERY
-from lemonridge.iscsi.task_management import FUNCTION_COMPLETE, TASK_REASSIGN
 from lemonridge.lab.conform.peer import Peer
 
 STEPS = 120
@@ -184,9 +191,12 @@
             if serial_distance(self.pdus[tag].words[1], self.exp_cmd_sn) >= 0:
                 self._send(peer, self.pdus[tag])  # discarded, or never received
             elif are_kept:
-                pdu = Pdu(Op.TASK_MANAGEMENT, FINAL | TASK_REASSIGN, words=[tag] + [0] * 6)
+                pdu = Pdu(Op.TASK_MANAGEMENT, FINAL | ManagementFunction.TASK_REASSIGN, words=[tag] + [0] * 6)
                 response = await self._request(peer, pdu)
-                assert response.byte2 == FUNCTION_COMPLETE or self.responses[tag], (tag, response)
+                assert response.byte2 == ManagementResponse.FUNCTION_COMPLETE or self.responses[tag], (
+                    tag,
+                    response,
+                )
             else:
                 self.terminated.add(tag)
                 del self.cids[tag]
