--- a/tests/integration/flood_cases.py
+++ b/tests/integration/flood_cases.py
@@ -176,7 +176,7 @@
         return int(text.partition("VmRSS:")[2].split()[0]) * 1024
 
     def processor_wait_s(self) -> float:
-        """Returns how long the program was ready to run and had no processor, in seconds."""
+        """Returns how long the program's main thread was ready to run and had no processor, in seconds."""
         _, waited_ns, _ = Path(f"/proc/{self.program.process.pid}/schedstat").read_text().split()
         return int(waited_ns) / 1e9
 
