Move etcd's client and follower into a package below extents and coordination

Need: both packages follow keys of etcd, and extents reached into coordination for it.

No behaviour is changed.

Measured: linters, mypy, the tests of formats, extents, coordination, config and the repository, and the integration tests of etcd and extents pass.

--- a/lemonridge/coordination/errors.py
+++ b/lemonridge/coordination/errors.py
@@ -9,19 +9,3 @@
 
 class VoteStoreError(CoordinationError):
     """A vote store is damaged, locked by another process, or exists already."""
-
-
-class EtcdError(CoordinationError):
-    """Base class of the errors that end a range or a watch of etcd."""
-
-
-class EtcdResponseError(EtcdError, ValueError):
-    """An answer of etcd is an error or malformed; the call is repeated after a pause."""
-
-
-class CompactedError(EtcdError):
-    """The requested revision is compacted: a new range is needed to read the current keys."""
-
-
-class MissedChangeError(EtcdError):
-    """A change was missed: a new range is needed to read the current keys."""
--- a/lemonridge/coordination/etcd_source.py
+++ b/lemonridge/coordination/etcd_source.py
@@ -21,11 +21,11 @@
 from lemonridge.config.etcd import EtcdConfig
 from lemonridge.config.operator_rows import endpoint_from_table, plan_from_table
 from lemonridge.config.operator_schema import NodeTable, PlanTable, convert
-from lemonridge.coordination.errors import CompactedError
-from lemonridge.coordination.etcd_client import RETRYABLE_ERRORS, EtcdClient, Event
-from lemonridge.coordination.etcd_follower import Feed, Follower, etcd_backoff
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointAddress, EndpointRegistry
+from lemonridge.etcd.client import RETRYABLE_ERRORS, EtcdClient, Event
+from lemonridge.etcd.errors import CompactedError
+from lemonridge.etcd.follower import Feed, Follower, etcd_backoff
 from lemonridge.net.watch_stream import open_session
 from lemonridge.scheduling.events import EndpointListUpdate, EndpointState
 from lemonridge.scheduling.settings import Settings, VolumePlan
--- a/lemonridge/coordination/etcd_client.py
+++ b/lemonridge/etcd/client.py
@@ -13,8 +13,8 @@
 import orjson
 
 from lemonridge.config.etcd import EtcdConfig
-from lemonridge.coordination.errors import CompactedError, EtcdResponseError
 from lemonridge.core.counters import Counters
+from lemonridge.etcd.errors import CompactedError, EtcdResponseError
 
 WATCH_DURATION_S = 60.0  # a new watch begins this often, since a connection may break without notice
 CALL_DEADLINE_S = 5.0  # of a call other than a watch
--- a/lemonridge/coordination/etcd_follower.py
+++ b/lemonridge/etcd/follower.py
@@ -11,9 +11,9 @@
 
 import aiohttp
 
-from lemonridge.coordination.errors import CompactedError, MissedChangeError
-from lemonridge.coordination.etcd_client import RETRYABLE_ERRORS, EtcdClient, Event
 from lemonridge.core.counters import Counters
+from lemonridge.etcd.client import RETRYABLE_ERRORS, EtcdClient, Event
+from lemonridge.etcd.errors import CompactedError, MissedChangeError
 from lemonridge.net.watch_stream import Backoff, open_session
 
 log = logging.getLogger(__name__)
--- a/lemonridge/extents/etcd_source.py
+++ b/lemonridge/extents/etcd_source.py
@@ -22,8 +22,8 @@
 import aiohttp
 import msgspec
 
-from lemonridge.coordination.errors import MissedChangeError
-from lemonridge.coordination.etcd_client import RETRYABLE_ERRORS, EtcdClient, Event
+from lemonridge.etcd.client import RETRYABLE_ERRORS, EtcdClient, Event
+from lemonridge.etcd.errors import MissedChangeError
 from lemonridge.extents.errors import MapError, MapRecordError
 from lemonridge.extents.extent_map import Change, ChangeResult, Extent
 from lemonridge.extents.refresh import ExtentKey
@@ -96,7 +96,7 @@
 
 
 class MapFeed:
-    """Updates the router's map from etcd; implements `etcd_follower.Feed`.
+    """Updates the router's map from etcd; implements `etcd.follower.Feed`.
 
     Args:
         router: The owner of the map.
--- a/lemonridge/service/iscsi.py
+++ b/lemonridge/service/iscsi.py
@@ -10,10 +10,10 @@
 
 from lemonridge.config.errors import ConfigError
 from lemonridge.config.fleet import FleetConfig
-from lemonridge.coordination.etcd_follower import Feed
 from lemonridge.coordination.etcd_source import EndpointsFeed, EtcdSource
 from lemonridge.core.broker import Broker
 from lemonridge.core.counters import Counters
+from lemonridge.etcd.follower import Feed
 from lemonridge.extents.errors import MapCacheError
 from lemonridge.extents.etcd_source import MapFeed, Refresher
 from lemonridge.extents.file_source import FileSource
--- a/tests/extents/test_map_sources.py
+++ b/tests/extents/test_map_sources.py
@@ -16,9 +16,9 @@
 from lemonridge.config.errors import ConfigError
 from lemonridge.config.operator_file import parse
 from lemonridge.config.operator_schema import json_schema
-from lemonridge.coordination.errors import MissedChangeError
-from lemonridge.coordination.etcd_client import Event
 from lemonridge.core.counters import Counters
+from lemonridge.etcd.client import Event
+from lemonridge.etcd.errors import MissedChangeError
 from lemonridge.extents.errors import MapCacheError, MapRecordError
 from lemonridge.extents.etcd_source import VERSION_KEY, MapFeed, extent_key
 from lemonridge.extents.extent_map import Change, ChangeResult, Extent, ExtentMap, MapBuilder
--- a/tests/formats/test_format_etcd.py
+++ b/tests/formats/test_format_etcd.py
@@ -19,11 +19,11 @@
 from lemonridge.config.errors import ConfigError
 from lemonridge.config.etcd import EtcdConfig
 from lemonridge.config.operator_schema import NodeTable, PlanTable, convert
-from lemonridge.coordination.errors import CompactedError
-from lemonridge.coordination.etcd_client import EtcdClient, Event
 from lemonridge.coordination.etcd_source import EndpointsFeed, PlansFeed
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointAddress
+from lemonridge.etcd.client import EtcdClient, Event
+from lemonridge.etcd.errors import CompactedError
 from lemonridge.scheduling.events import EndpointListUpdate, EndpointState
 from lemonridge.scheduling.settings import VolumePlan
 
