Hear of a drain in etcd within 6 s, however the watch of the node list falls silent

A watch that died without a sign hid a drain for up to 60 s.

Cause: waits on etcd without an end of their own. EtcdClient.watch had no deadline until its head had come, and after it only the 60 s of the whole watch; a watch that is silent looks like one without changes, and nodes/ and plans/ had no other look at etcd.

Change: DeadlineSession is the only way to etcd and to discovery. Beside each watch a linearizable read asks once a second what changed since the last known revision, and for the number of keys; it applies what the watch withholds. What both show is decided by SyncedKeys, which is pure. The map's own poll of its version runs by the same loop, now also while its watch is being opened.

Why it works: a read that is lost ends after 2 s and the next begins at once on another connection; 1 s, 2 s and an answer are under 6 s. Nothing rests on a message of the watch. The read also moves the revision of the next watch on, so a compaction no longer makes a quiet kind read anew.

--- a/lemonridge/coordination/etcd_source.py
+++ b/lemonridge/coordination/etcd_source.py
@@ -14,7 +14,6 @@
 from dataclasses import replace
 from random import Random
 
-import aiohttp
 import orjson
 
 from lemonridge.config.errors import ConfigError
@@ -23,10 +22,9 @@
 from lemonridge.config.operator_schema import NodeTable, PlanTable, convert
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointAddress, EndpointRegistry
-from lemonridge.etcd.client import RETRYABLE_ERRORS, EtcdClient, Event
-from lemonridge.etcd.errors import CompactedError
-from lemonridge.etcd.follower import Feed, Follower, etcd_backoff
-from lemonridge.net.watch_stream import open_session
+from lemonridge.etcd.client import EtcdClient
+from lemonridge.etcd.events import Event
+from lemonridge.etcd.follower import Confirm, Feed, Follower
 from lemonridge.scheduling.events import EndpointListUpdate, EndpointState
 from lemonridge.scheduling.settings import Settings, VolumePlan
 
@@ -42,6 +40,7 @@
     """Updates the endpoint registry from the keys `nodes/NAME`."""
 
     KIND = "nodes/"
+    confirm: Confirm | None = None  # endpoints and plans have no version of their own
 
     def __init__(self, registry: EndpointRegistry, counters: Counters) -> None:
         self._registry, self._counters = registry, counters
@@ -66,10 +65,6 @@
         if changed:
             self._registry.update(EndpointListUpdate.DELTA, changed)
 
-    async def run_during_watch(self, etcd: EtcdClient, http: aiohttp.ClientSession) -> None:
-        """See `Feed`. Waits forever, since nothing runs besides the watch."""
-        await asyncio.Event().wait()
-
     def _apply(self, event: Event) -> EndpointAddress | None:
         """Applies one key.
 
@@ -107,6 +102,7 @@
     """
 
     KIND = "plans/"
+    confirm: Confirm | None = None  # endpoints and plans have no version of their own
 
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
@@ -141,10 +137,6 @@
         if self.on_change is not None:
             self.on_change(self.plans)
 
-    async def run_during_watch(self, etcd: EtcdClient, http: aiohttp.ClientSession) -> None:
-        """See `Feed`. Waits forever, since nothing runs besides the watch."""
-        await asyncio.Event().wait()
-
 
 class EtcdSource:
     """Follows the plans and other kinds of keys at one etcd endpoint; `page_size` is in keys."""
@@ -152,21 +144,15 @@
     def __init__(self, etcd: EtcdConfig, random: Random, counters: Counters, page_size: int) -> None:
         self.client = EtcdClient(etcd, counters, page_size)
         self._random, self._counters = random, counters
-        self._plans, self._plans_revision = PlansFeed(counters), 0
-        self._backoff = etcd_backoff(random, counters)
+        self._plans = PlansFeed(counters)
+        self._plans_follower = self._follower(PlansFeed.KIND, self._plans)
 
     async def apply_contracts(self, names: tuple[str, ...], settings: Settings) -> Settings:
         """Returns the settings with the plans that etcd has at the start; waits until etcd answers.
 
         `names` are the names of the settings' plans, in order.
         """
-        async with open_session() as http:
-            while True:
-                try:
-                    self._plans_revision = await self.client.range(http, PlansFeed.KIND, self._plans.add_page)
-                    break
-                except (CompactedError, *RETRYABLE_ERRORS) as error:
-                    await self._backoff.wait_after(error)
+        await self._plans_follower.load()
         plans = tuple(
             self._plans.plans.get(name, plan) for name, plan in zip(names, settings.plans, strict=True)
         )
@@ -182,7 +168,7 @@
         async with asyncio.TaskGroup() as group:
             for kind, feed in feeds.items():
                 group.create_task(self._follower(kind, feed).run())
-            group.create_task(self._follower(PlansFeed.KIND, self._plans).run(self._plans_revision))
+            group.create_task(self._plans_follower.run())
 
     def _follower(self, kind: str, feed: Feed) -> Follower:
         return Follower(self.client, kind, feed, self._random, self._counters)
--- a/lemonridge/etcd/errors.py
+++ b/lemonridge/etcd/errors.py
@@ -17,3 +17,7 @@
 
 class MissedChangeError(EtcdError):
     """A change was missed: a new range is needed to read the current keys."""
+
+
+class SilentWatchError(EtcdError):
+    """A watch has not delivered a change that a read has shown: it is opened anew."""
--- a/lemonridge/extents/etcd_source.py
+++ b/lemonridge/extents/etcd_source.py
@@ -13,26 +13,24 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import re
 from collections.abc import Sequence
 from enum import Enum
 
-import aiohttp
 import msgspec
 
-from lemonridge.etcd.client import RETRYABLE_ERRORS, EtcdClient, Event
+from lemonridge.etcd.client import EtcdClient
 from lemonridge.etcd.errors import MissedChangeError
+from lemonridge.etcd.events import Event
 from lemonridge.extents.errors import MapError, MapRecordError
 from lemonridge.extents.extent_map import Change, ChangeResult, Extent
 from lemonridge.extents.refresh import ExtentKey
 from lemonridge.extents.router import Router
-from lemonridge.net.watch_stream import open_session
+from lemonridge.net.deadline_session import DeadlineSession
 
 log = logging.getLogger(__name__)
 
-CONFIRM_INTERVAL_S = 1.0  # time between two reads of the map's version
 VERSION_KEY = "map/version"
 EXTENTS_PREFIX = "map/extents/"
 _EXTENT_KEY = re.compile(r"map/extents/[0-9]{1,5}/[0-9]{20}")
@@ -167,29 +165,19 @@
             if result not in (ChangeResult.APPLIED, ChangeResult.STALE):
                 raise MissedChangeError
 
-    async def run_during_watch(self, etcd: EtcdClient, http: aiohttp.ClientSession) -> None:
-        """Polls the map's version in etcd, to confirm the map and to detect that the watch missed a change.
-
-        The read is linearizable: it returns the newest version that the members of etcd have agreed on.
+    async def confirm(self, etcd: EtcdClient, http: DeadlineSession) -> None:
+        """Compares the map's version with the one in etcd, to confirm the map; see `Feed`.
 
         Raises:
             MissedChangeError: The watch missed a change: the complete map must be read again.
         """
-        while True:
-            try:
-                events = await etcd.get(http, [VERSION_KEY])
-                newest_version = (
-                    parse_version(events[0].value) if events and events[0].value is not None else -1
-                )
-                freshness = self._freshness_check.check(newest_version, self._router.map.version)
-                if freshness is Freshness.CONFIRMED:
-                    self._router.confirm()
-                if freshness is Freshness.CHANGE_MISSED:
-                    raise MissedChangeError
-            except RETRYABLE_ERRORS as error:
-                self._router.counters["etcd.unconfirmed"] += 1
-                log.info("map not confirmed", extra={"error": f"{type(error).__name__}: {error}"})
-            await asyncio.sleep(CONFIRM_INTERVAL_S)
+        events = await etcd.get(http, [VERSION_KEY])
+        newest_version = parse_version(events[0].value) if events and events[0].value is not None else -1
+        freshness = self._freshness_check.check(newest_version, self._router.map.version)
+        if freshness is Freshness.CONFIRMED:
+            self._router.confirm()
+        if freshness is Freshness.CHANGE_MISSED:
+            raise MissedChangeError
 
     def _parse_change(self, revision_events: list[Event]) -> Change:
         """Returns the change that the events of one revision form.
@@ -229,7 +217,7 @@
 
     def __init__(self, etcd: EtcdClient) -> None:
         self._etcd = etcd
-        self._http: aiohttp.ClientSession | None = None
+        self._http: DeadlineSession | None = None
 
     async def read(self, keys: tuple[ExtentKey, ...]) -> list[Extent]:
         """Reads extents, all at the same revision.
@@ -244,7 +232,7 @@
             MapRecordError: A key or value is malformed.
         """
         if self._http is None:
-            self._http = open_session()
+            self._http = DeadlineSession()
         events = await self._etcd.get(self._http, [extent_key(*key) for key in keys])
         return [parse_extent(event.key, event.value) for event in events if event.value is not None]
 
--- a/lemonridge/lab/standins/etcd.py
+++ b/lemonridge/lab/standins/etcd.py
@@ -200,13 +200,16 @@
                 entries.append(
                     {"key": b64(key), "value": b64(value), "mod_revision": str(versions[position - 1][0])}
                 )
-        limit = int(request.get("limit", 0)) or len(entries)
+        # The count is that of the whole range, whatever the filter and the limit leave of it.
+        min_mod_revision = int(request.get("min_mod_revision", 0))
+        filtered = [entry for entry in entries if int(entry["mod_revision"]) >= min_mod_revision]
+        limit = int(request.get("limit", 0)) or len(filtered)
         response = {
             "header": {"revision": str(self.revision)},
-            "kvs": entries[:limit],
+            "kvs": filtered[:limit],
             "count": str(len(entries)),
         }
-        return {**response, "more": True} if len(entries) > limit else response
+        return {**response, "more": True} if len(filtered) > limit else response
 
     async def _watch(self, request: web.BaseRequest, create_request: dict[str, Any]) -> web.StreamResponse:
         response = web.StreamResponse()
--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -14,9 +14,16 @@
 
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointRegistry
+from lemonridge.net.deadline_session import (
+    ANSWER_MAX_S,
+    CALL_ERRORS,
+    SILENCE_MAX_S,
+    DeadlineSession,
+    HttpCall,
+)
 from lemonridge.net.discovery_format import parse_answer
-from lemonridge.net.errors import DiscoveryError, DiscoveryStatusError, MalformedListError
-from lemonridge.net.watch_stream import Backoff, open_session
+from lemonridge.net.errors import AnswerTooLongError, DiscoveryStatusError, MalformedListError
+from lemonridge.net.watch_stream import Backoff
 from lemonridge.scheduling import MAX_POLL_BACKOFF_US
 from lemonridge.scheduling.events import EndpointListUpdate
 from lemonridge.scheduling.settings import Settings
@@ -27,15 +34,12 @@
 # Watch time of a call to an agent: the watch, a silence, the next call and a slow answer take less than 6 s.
 AGENT_WATCH_S = 2.0
 POLL_WATCH_S = 60.0  # watch time where calls are charged: the longest that the protocol allows
-SILENCE_MAX_S = 1.0  # after the watch time or within an answer; a longer silence means the call is lost
-ANSWER_MAX_S = 5.0  # for a complete answer, even if it keeps arriving
 AGENT_OPEN_CALLS_MAX = 4  # concurrent calls to an agent
 CHANGES_WATCH_MS = 1  # watch time of a call for the changes up to now
 BACKOFF_FIRST_S = 0.05
 POLL_INTERVAL_PER_BROKER_S = 0.125  # first pause, per broker of the fleet, where discovery must be polled
 LIST_MAX_BYTES = 4 * 2**20  # about 20,000 endpoints
-
-CALL_FAILURES = (aiohttp.ClientError, OSError, DiscoveryError)  # OSError includes TimeoutError
+HTTP_OK = 200
 
 
 class _ListCall:
@@ -142,7 +146,7 @@
         if version is not None:
             await self._backoff.wait_before_first()  # the cached list is used meanwhile
         skips_watch = False
-        async with open_session() as http:
+        async with DeadlineSession() as http:
             while True:
                 try:
                     is_watch = self._version is not None and not skips_watch
@@ -150,7 +154,7 @@
                     self._version = self._apply(body)
                     skips_watch = False
                     self._backoff.reset()
-                except CALL_FAILURES as error:
+                except CALL_ERRORS as error:
                     # An agent is asked for the missed changes immediately.
                     skips_watch = not self._calls_are_charged
                     self._check_version(error)
@@ -170,7 +174,7 @@
         if has_agent_exited or isinstance(error, MalformedListError):
             self._version = None
 
-    async def _watch(self, http: aiohttp.ClientSession) -> bytes:
+    async def _watch(self, http: DeadlineSession) -> bytes:
         """Waits for a change and returns the body of the answer.
 
         Raises:
@@ -180,7 +184,7 @@
         head_by_s = asyncio.get_running_loop().time() + self._watch_s + SILENCE_MAX_S
         return await self._call(http, query, head_by_s, _ListCall())
 
-    async def _poll(self, http: aiohttp.ClientSession) -> bytes:
+    async def _poll(self, http: DeadlineSession) -> bytes:
         """Returns an answer with the current list, or with the changes since the known version.
 
         A call that is not answered soon may be slow or lost, so another call is started beside it, and the
@@ -198,23 +202,21 @@
                 try:
                     async with asyncio.timeout_at(now_s + self._answer_timeout_s):
                         return await _first_answer(calls)
-                except CALL_FAILURES as error:
+                except CALL_ERRORS as error:
                     self._check_version(error)
                     await self._backoff.wait_after(error)
         finally:
             for call in calls:
                 call.task.cancel()
 
-    def _start_call(self, http: aiohttp.ClientSession, head_by_s: float) -> _ListCall:
+    def _start_call(self, http: DeadlineSession, head_by_s: float) -> _ListCall:
         """Starts a call for the current list, or for the changes up to now."""
         query = "" if self._version is None else f"?after={self._version}&wait_ms={CHANGES_WATCH_MS}"
         call = _ListCall()
         call.task = asyncio.create_task(self._call(http, query, head_by_s, call))
         return call
 
-    async def _call(
-        self, http: aiohttp.ClientSession, query: str, head_by_s: float, call: _ListCall
-    ) -> bytes:
+    async def _call(self, http: DeadlineSession, query: str, head_by_s: float, call: _ListCall) -> bytes:
         """Returns the body of the answer to one call.
 
         Args:
@@ -228,20 +230,17 @@
                 the rest of the answer is never read.
             DiscoveryError: The status is not 200, or the list is too long.
         """
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout_at(head_by_s) as timeout:
-            async with http.get(self._url + query, allow_redirects=False) as response:
-                call.is_answering, complete_by_s = True, loop.time() + ANSWER_MAX_S
-                timeout.reschedule(loop.time() + SILENCE_MAX_S)
-                if response.status != 200:
-                    raise DiscoveryStatusError(f"discovery responded with status {response.status}")
-                body = bytearray()
-                async for part in response.content.iter_any():
-                    timeout.reschedule(min(complete_by_s, loop.time() + SILENCE_MAX_S))
-                    body += part
-                    if len(body) > LIST_MAX_BYTES:
-                        raise MalformedListError(f"endpoint list exceeds {LIST_MAX_BYTES} bytes")
-                return bytes(body)
+
+        def on_head(status: int) -> None:
+            call.is_answering = True
+            if status != HTTP_OK:
+                raise DiscoveryStatusError(f"discovery responded with status {status}")
+
+        try:
+            answer = await http.call(HttpCall(self._url + query, LIST_MAX_BYTES), head_by_s, on_head)
+        except AnswerTooLongError:
+            raise MalformedListError(f"endpoint list exceeds {LIST_MAX_BYTES} bytes") from None
+        return answer.body
 
     def _apply(self, body: bytes) -> int:
         """Applies an answer to the registry, completely or not at all; returns the new version of the list.
--- a/lemonridge/net/errors.py
+++ b/lemonridge/net/errors.py
@@ -51,3 +51,11 @@
 
 class DiscoveryStatusError(DiscoveryError):
     """Discovery responded with a status other than 200."""
+
+
+class AnswerCutError(NetError):
+    """The answer of a server ended while more was expected."""
+
+
+class AnswerTooLongError(NetError):
+    """The answer of a server, or one line of it, is longer than its limit."""
--- a/lemonridge/net/watch_stream.py
+++ b/lemonridge/net/watch_stream.py
@@ -1,4 +1,4 @@
-"""Shared parts of the watches of an endpoint list: an HTTP session and the backoff after a failure."""
+"""The backoff after a failed call to a source of the endpoint list."""
 
 from __future__ import annotations
 
@@ -6,19 +6,11 @@
 import logging
 from random import Random
 
-import aiohttp
-
 from lemonridge.core.counters import Counters
-from lemonridge.net.http_client import plain_session
 
 DOUBLINGS_MAX = 16  # limits the exponent; the longest pause is reached long before
 
 
-def open_session() -> aiohttp.ClientSession:
-    """Opens an HTTP session to one source of the list."""
-    return plain_session(aiohttp.TCPConnector(limit=0, happy_eyeballs_delay=None))
-
-
 class Backoff:
     """Counts and logs the failures of one source, and pauses after each of them.
 
--- a/tests/extents/test_map_sources.py
+++ b/tests/extents/test_map_sources.py
@@ -17,8 +17,8 @@
 from lemonridge.config.operator_file import parse
 from lemonridge.config.operator_schema import json_schema
 from lemonridge.core.counters import Counters
-from lemonridge.etcd.client import Event
 from lemonridge.etcd.errors import MissedChangeError
+from lemonridge.etcd.events import Event
 from lemonridge.extents.errors import MapCacheError, MapRecordError
 from lemonridge.extents.etcd_source import VERSION_KEY, MapFeed, extent_key
 from lemonridge.extents.extent_map import Change, ChangeResult, Extent, ExtentMap, MapBuilder
--- a/tests/formats/test_format_etcd.py
+++ b/tests/formats/test_format_etcd.py
@@ -11,7 +11,6 @@
 from typing import Any
 from unittest import mock
 
-import aiohttp
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
@@ -22,8 +21,10 @@
 from lemonridge.coordination.etcd_source import EndpointsFeed, PlansFeed
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointAddress
-from lemonridge.etcd.client import EtcdClient, Event
+from lemonridge.etcd.client import EtcdClient
 from lemonridge.etcd.errors import CompactedError
+from lemonridge.etcd.events import ChangesRead, Event
+from lemonridge.net.deadline_session import DeadlineSession
 from lemonridge.scheduling.events import EndpointListUpdate, EndpointState
 from lemonridge.scheduling.settings import VolumePlan
 
@@ -55,12 +56,12 @@
 
 class EtcdClientTest(unittest.IsolatedAsyncioTestCase):
     async def call_client(
-        self, gateway: Gateway, call: Callable[[EtcdClient, aiohttp.ClientSession], Awaitable[Any]]
+        self, gateway: Gateway, call: Callable[[EtcdClient, DeadlineSession], Awaitable[Any]]
     ) -> Any:
         """Makes one call of a client with the prefix /lr/ and pages of two keys."""
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", gateway.serve)
-        async with TestServer(app) as server, aiohttp.ClientSession() as http:
+        async with TestServer(app) as server, DeadlineSession() as http:
             endpoint = Address("127.0.0.1", server.port or 0)
             return await call(EtcdClient(EtcdConfig(endpoint, "/lr/"), Counters(), 2), http)
 
@@ -133,6 +134,45 @@
             ],
         )
 
+    async def test_changes_are_requested_by_revision_and_read_with_the_number_of_all_keys(self) -> None:
+        gateway = Gateway(
+            b'{"header":{"cluster_id":"1","revision":"47"},"succeeded":true,"responses":['
+            b'{"response_range":{"header":{"revision":"47"},"kvs":['
+            b'{"key":"L2xyL25vZGVzL24x","mod_revision":"45","value":"eyJzaGFyZCI6MX0="},'
+            b'{"key":"L2xyL25vZGVzL24y","mod_revision":"41","value":"e30="}],"count":"12"}}]}',
+            b'{"header":{"revision":"47"},"succeeded":true,"responses":[{"response_range":{}}]}',
+        )
+
+        async def read_twice(etcd: EtcdClient, http: DeadlineSession) -> list[ChangesRead]:
+            return [await etcd.read_changes(http, "nodes/", 41), await etcd.read_changes(http, "nodes/", 47)]
+
+        reads = await self.call_client(gateway, read_twice)
+
+        self.assertEqual(
+            reads,
+            [
+                ChangesRead(47, tuple(build_events(("nodes/n1", b'{"shard":1}', 45))), 12),
+                ChangesRead(47, (), 0),
+            ],
+        )
+        self.assertEqual(
+            gateway.requests[0],
+            (
+                "POST",
+                "/v3/kv/txn",
+                b'{"success":[{"request_range":{"key":"L2xyL25vZGVzLw==","range_end":"L2xyL25vZGVzMA==",'
+                b'"min_mod_revision":"42"}}]}',
+            ),
+        )
+
+    async def test_page_that_does_not_advance_is_an_error(self) -> None:
+        page = (
+            b'{"header":{"revision":"41"},"kvs":[{"key":"L2xyL25vZGVzL24x","mod_revision":"5"}],"more":true}'
+        )
+        gateway = Gateway(page, page)
+        with self.assertRaisesRegex(ValueError, "a page after"):
+            await self.call_client(gateway, lambda etcd, http: etcd.range(http, "nodes/", lambda page: None))
+
     async def test_watch_is_created_and_read_line_by_line(self) -> None:
         gateway = Gateway(
             b'{"result":{"header":{"revision":"41"},"created":true}}\n'
@@ -143,7 +183,7 @@
         )
         batches: list[list[Event]] = []
 
-        async def follow(etcd: EtcdClient, http: aiohttp.ClientSession) -> None:
+        async def follow(etcd: EtcdClient, http: DeadlineSession) -> None:
             async for events in etcd.watch(http, "nodes/", 42):
                 batches.append(events)
 
@@ -169,7 +209,7 @@
         )
 
     async def test_compaction_is_recognized_by_error_code_and_in_watch(self) -> None:
-        async def follow(etcd: EtcdClient, http: aiohttp.ClientSession) -> None:
+        async def follow(etcd: EtcdClient, http: DeadlineSession) -> None:
             async for _ in etcd.watch(http, "nodes/", 42):
                 pass
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -700,13 +700,18 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = Path(folder.name) / "iscsi.toml"
-        path.write_text(f'{text}\n[etcd]\nendpoint = "127.0.0.1:{self.etcd.port}"\nprefix = "/lr/"\n')
+        endpoint = f"127.0.0.1:{await self.port_to_etcd()}"
+        path.write_text(f'{text}\n[etcd]\nendpoint = "{endpoint}"\nprefix = "/lr/"\n')
         self.config = str(path)
         self.program = await Program().start("serve", "--config", self.config)
         self.addAsyncCleanup(self.program.stop, signal.SIGKILL)
         self.port = int((await self.program.wait_for_line("event=listening")).rsplit(":", 1)[1])
         await self.etcd.wait_until(lambda: len(self.etcd.streams) == 2)  # nodes and plans
 
+    async def port_to_etcd(self) -> int:
+        """Returns the port at which the program reaches etcd."""
+        return self.etcd.port
+
     async def open_session(self) -> Initiator:
         """Returns an initiator that is logged in."""
         session = await Initiator(self.port).start()
--- a/tests/integration/test_etcd_source.py
+++ b/tests/integration/test_etcd_source.py
@@ -12,9 +12,11 @@
 
 class EtcdNodeList(IscsiCase):
     def node_calls(self) -> list[ReceivedCall]:
-        """Returns the calls at etcd that concern the node list."""
+        """Returns the ranges and watches at etcd that concern the node list."""
         call_bodies = (
-            (call, call.body.get("create_request", call.body)) for call in self.etcd.received_calls
+            (call, call.body.get("create_request", call.body))
+            for call in self.etcd.received_calls
+            if call.path in {"/v3/kv/range", "/v3/watch"}
         )
         return [call for call, body in call_bodies if base64.b64decode(body["key"]) == b"/lr/nodes/"]
 
