End the connection of a logged-out node session though the node does not read

What callers saw: nothing at once. A broker kept the connection, its socket and its unsent output for as long as a node that had stopped reading kept its system up.

Cause: EndpointSession.end closes its transport, which sends what is pending first; nothing bounded that.

--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -61,6 +61,7 @@
     "ErrorRecoveryLevel",
 )
 IDLE_LIMIT_FRACTION = 0.9  # of the idle time after which a node may end a session
+CLOSE_GRACE_S = 1.0  # from the logout until output is no longer sent to a target that does not read
 NOT_EXECUTED_STATUSES = frozenset((scsi.Status.BUSY, scsi.Status.TASK_SET_FULL))
 
 
@@ -456,7 +457,8 @@
             self._write(
                 Pdu(Op.LOGOUT, FINAL, tag=next(self._task_tags) % RESERVED_TAG, immediate=True), numbered=True
             )
-            self._writer.close()  # pending output is still sent
+            self._writer.close()  # pending output is still sent, for some time if the target does not read
+            self._loop.call_later(CLOSE_GRACE_S, self._writer.transport.abort)
 
     def _abort_session(self, reason: str) -> None:
         """Ends the session at once; every command in flight may have run."""
