Test starts and SIGTERM beside an etcd that accepts and never answers

Need: the table of waits has a row for the plans that a start waits for; its cell had a test for a refused connection alone.

Change: three tests: a start goes on within 6 s of etcd's first answer, and SIGTERM ends a start, and a running program, beside a silent etcd with 0.

--- a/tests/integration/test_silent_etcd.py
+++ b/tests/integration/test_silent_etcd.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import Callable
 
-from harness import IscsiCase, Target, cdb
+from harness import IscsiCase, Program, Target, cdb
 
 from lemonridge.lab.links.tcp import AnswerFault, TcpLink
 
@@ -170,6 +171,34 @@
         await self.assert_drain_is_heard()
 
 
+class StartBesideSilentEtcd(SilentEtcdCase):
+    """A program starts while etcd accepts connections and answers none of them."""
+
+    async def start_beside_silence(self) -> Program:
+        self.link.swallows_new = True
+        program = await Program().start("serve", "--config", self.config)
+        self.addAsyncCleanup(program.stop, signal.SIGKILL)
+        await program.wait_for_line("etcd failed")
+        return program
+
+    async def test_start_goes_on_once_etcd_answers(self) -> None:
+        program = await self.start_beside_silence()
+        self.link.swallows_new = False
+        async with asyncio.timeout(HEARD_WITHIN_S):
+            await program.wait_for_line("event=listening")
+
+    async def test_sigterm_ends_a_start_that_waits_for_a_silent_etcd(self) -> None:
+        program = await self.start_beside_silence()
+        self.assertEqual(await program.stop(), 0)
+
+    async def test_sigterm_ends_a_program_beside_a_silent_etcd(self) -> None:
+        self.link.swallows_new = True
+        self.link.silence()
+        await self.program.wait_for_line("not confirmed")
+        self.reading.cancel()
+        self.assertEqual(await self.program.stop(), 0)
+
+
 class QuietEtcd(SilentEtcdCase):
     async def test_quiet_etcd_is_asked_little_and_a_drain_after_it_is_heard(self) -> None:
         """No new snapshot, no warning, and less than a watch a second; the reads that confirm are few."""
