Ask discovery again within 4.5 s, however long it was away and however large the fleet

Cause: the pause between two calls grew to ask-within-us, 15 s with its jitter; and the first pause, 0.125 s a broker, also followed a long poll that fell silent, of whose 2 s one is over when that is found. STANDING: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed call.

Change: a pause has 4.5 s at most with its jitter, which leaves an answer 1.5 s. The time of a silent call is part of the pause; a broken connection's is not, as it breaks for all brokers at once. A first call is given up after 3 s in place of 5, and first calls are spread over 4.5 s in place of 5.

test_calls_of_many_brokers_...: its last line pinned pauses of 4 and 8 s where the settings name no time, which STANDING does not allow; in its place a test of twenty settings holds each pause and the spread to 6 s less an answer. The rest of it is as it was, with the spread as a figure of its own.

--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -23,7 +23,7 @@
 )
 from lemonridge.net.discovery_format import parse_answer
 from lemonridge.net.errors import AnswerTooLongError, DiscoveryStatusError, MalformedListError
-from lemonridge.net.watch_stream import Backoff
+from lemonridge.net.watch_stream import JITTER, Backoff
 from lemonridge.scheduling import MAX_POLL_BACKOFF_US
 from lemonridge.scheduling.events import EndpointListUpdate
 from lemonridge.scheduling.settings import Settings
@@ -38,6 +38,8 @@
 CHANGES_WATCH_MS = 1  # watch time of a call for the changes up to now
 BACKOFF_FIRST_S = 0.05
 POLL_INTERVAL_PER_BROKER_S = 0.125  # first pause, per broker of the fleet, where discovery must be polled
+POLL_ANSWER_MAX_S = 1.5  # left for the answer to a poll before a missed change counts as notified
+POLL_INTERVAL_MAX_S = MISSED_CHANGE_NOTIFIED_AFTER_S - POLL_ANSWER_MAX_S  # between the starts of two polls
 LIST_MAX_BYTES = 4 * 2**20  # about 20,000 endpoints
 HTTP_OK = 200
 
@@ -84,7 +86,7 @@
     Where discovery must be polled, the calls of all brokers share one queue, and a call that timed out in it
     costs as much as an answered one; if all brokers poll again and again without a pause, none gets an
     answer. The pauses grow with the number of brokers, but stay within the time after which a broker counts
-    as not polling.
+    as not polling, and with their jitter within POLL_INTERVAL_MAX_S.
 
     Args:
         settings: The scheduler's settings.
@@ -93,8 +95,20 @@
         longest_s = settings.drain_grace_us / 4e6 or BACKOFF_FIRST_S
         return min(BACKOFF_FIRST_S, longest_s), longest_s
     limit_s = (settings.poll_within_us or MAX_POLL_BACKOFF_US) / 1e6
-    first_s = max(BACKOFF_FIRST_S, min(POLL_INTERVAL_PER_BROKER_S * settings.hosts, limit_s / 2))
-    return first_s, max(first_s, limit_s)
+    longest_s = min(limit_s, POLL_INTERVAL_MAX_S / (1 + JITTER))
+    first_s = max(BACKOFF_FIRST_S, min(POLL_INTERVAL_PER_BROKER_S * settings.hosts, limit_s / 2, longest_s))
+    return first_s, max(first_s, longest_s)
+
+
+def first_poll_spread_s(settings: Settings) -> float:
+    """Returns the time over which the first polls of all brokers are spread, in seconds.
+
+    Args:
+        settings: The scheduler's settings.
+    """
+    limit_s = (settings.poll_within_us or MAX_POLL_BACKOFF_US) / 1e6
+    spread_s = min(POLL_INTERVAL_PER_BROKER_S * settings.hosts, limit_s / 2, POLL_INTERVAL_MAX_S)
+    return max(BACKOFF_FIRST_S, spread_s)
 
 
 class Discovery:
@@ -125,10 +139,11 @@
         self._watch_s = POLL_WATCH_S if self._calls_are_charged else AGENT_WATCH_S
         # An agent answers a call without a watch immediately; otherwise its connection has failed silently.
         self._answer_timeout_s = (
-            MISSED_CHANGE_NOTIFIED_AFTER_S - SILENCE_MAX_S
+            MISSED_CHANGE_NOTIFIED_AFTER_S / 2
             if self._calls_are_charged
             else settings.drain_grace_us / 2e6 or SILENCE_MAX_S
         )
+        self._first_poll_spread_s = first_poll_spread_s(settings)
         self._backoff = Backoff("discovery", log, *backoff_bounds_s(settings), random, counters)
         self._counters = counters
         self._version: int | None = None  # of the list; None: request the complete list next
@@ -144,10 +159,12 @@
         """
         self._version = version
         if version is not None:
-            await self._backoff.wait_before_first()  # the cached list is used meanwhile
+            # The cached list is used meanwhile.
+            await self._backoff.wait_before_first(self._first_poll_spread_s)
         skips_watch = False
         async with DeadlineSession() as http:
             while True:
+                call_began_s = asyncio.get_running_loop().time()
                 try:
                     is_watch = self._version is not None and not skips_watch
                     body = await (self._watch(http) if is_watch else self._poll(http))
@@ -158,12 +175,23 @@
                     # An agent is asked for the missed changes immediately.
                     skips_watch = not self._calls_are_charged
                     self._check_version(error)
-                    await self._backoff.wait_after(error)
+                    await self._wait_after(error, call_began_s)
                 except Exception as error:
                     log.exception("discovery failed: internal error")
                     self._version = None
                     await self._backoff.wait_after(error)
 
+    async def _wait_after(self, error: Exception, call_began_s: float) -> None:
+        """Counts and logs a failure, and pauses before the next call.
+
+        Where calls are charged, the time that a silent call took is part of the pause: what a silent watch
+        has missed counts as notified 2 s after the end of its wait (STANDING, "one clock for silence"), and
+        half of that time is over. A broken connection is no part of it, since it breaks for all brokers at
+        once.
+        """
+        is_part_of_pause = self._calls_are_charged and isinstance(error, TimeoutError)
+        await self._backoff.wait_after(error, call_began_s if is_part_of_pause else None)
+
     def _check_version(self, error: Exception) -> None:
         """Requests the complete list next if the error makes the known version doubtful.
 
@@ -204,7 +232,7 @@
                         return await _first_answer(calls)
                 except CALL_ERRORS as error:
                     self._check_version(error)
-                    await self._backoff.wait_after(error)
+                    await self._wait_after(error, now_s)
         finally:
             for call in calls:
                 call.task.cancel()
--- a/lemonridge/net/watch_stream.py
+++ b/lemonridge/net/watch_stream.py
@@ -8,6 +8,7 @@
 
 from lemonridge.core.counters import Counters
 
+JITTER = 0.5  # part of a pause by which it may be shorter or longer
 DOUBLINGS_MAX = 16  # limits the exponent; the longest pause is reached long before
 
 
@@ -42,14 +43,21 @@
         """Resets the pause to the shortest after a successful call."""
         self._failures = 0
 
-    async def wait_after(self, error: Exception) -> None:
-        """Counts and logs a failure, and pauses."""
+    async def wait_after(self, error: Exception, call_began_s: float | None = None) -> None:
+        """Counts and logs a failure, and pauses.
+
+        Args:
+            error: The failure.
+            call_began_s: When the failed call began (event loop's clock), if the pause counts from then; None
+                if it counts from now.
+        """
         self._counters[f"{self._name}.failed"] += 1
         self._log.warning(f"{self._name} failed", extra={"error": f"{type(error).__name__}: {error}"})
         pause_s = min(self._longest_s, self._first_s * 2**self._failures)
         self._failures = min(self._failures + 1, DOUBLINGS_MAX)
-        await asyncio.sleep(pause_s * self._random.uniform(0.5, 1.5))
+        elapsed_s = 0.0 if call_began_s is None else asyncio.get_running_loop().time() - call_began_s
+        await asyncio.sleep(pause_s * self._random.uniform(1 - JITTER, 1 + JITTER) - elapsed_s)
 
-    async def wait_before_first(self) -> None:
-        """Pauses before the first call, for a random time up to the first pause."""
-        await asyncio.sleep(self._first_s * self._random.random())
+    async def wait_before_first(self, spread_s: float) -> None:
+        """Pauses before the first call, for a random time up to `spread_s` seconds."""
+        await asyncio.sleep(spread_s * self._random.random())
--- a/tests/integration/test_drain_notifications.py
+++ b/tests/integration/test_drain_notifications.py
@@ -99,7 +99,7 @@
                 await sleep_until(loop.time() + 1.0 + 0.07 * step)
                 self.discovery.set_endpoint("s-1", self.node.port, health="draining")
                 await self.discovery_server.start()
-                recovered_at, attempt_times = loop.time(), self.record_attempts()
+                recovered_at, attempt_times = loop.time(), record_attempts(self)
                 while loop.time() < recovered_at + 1.2:
                     with contextlib.suppress(ConnectionError):
                         await self.client.request(X_Deadline_Ms="60")
@@ -107,20 +107,9 @@
                 self.assertEqual([at for at in attempt_times if at - recovered_at > 0.5 + SOCKET_SLACK_S], [])
                 self.node.script = serve_ok
 
-    def record_attempts(self) -> list[float]:
-        """Returns a list to which the start times of new attempts are added."""
-        loop, attempt_times = asyncio.get_running_loop(), list[float]()
-
-        async def record_and_reply(_: Server, message: Message, writer: asyncio.StreamWriter) -> None:
-            attempt_times.append(loop.time())
-            reply(writer)
-
-        self.node.script = record_and_reply
-        return attempt_times
-
     async def test_drain_set_after_sigterm_is_obeyed_until_the_exit(self) -> None:
         """Guards against a watch that ends, or is not reopened after a failure, while the process exits."""
-        loop, attempt_times = asyncio.get_running_loop(), self.record_attempts()
+        loop, attempt_times = asyncio.get_running_loop(), record_attempts(self)
         self.program.process.send_signal(signal.SIGTERM)
         drain_set_at = loop.time() + 0.1
         drain_is_set = False
@@ -139,6 +128,18 @@
         self.assertEqual([at for at in attempt_times if at - drain_set_at > 0.5 + SOCKET_SLACK_S], [])
 
 
+def record_attempts(case: PlatformCase) -> list[float]:
+    """Returns a list to which the start times of new attempts at the node are added."""
+    loop, attempt_times = asyncio.get_running_loop(), list[float]()
+
+    async def record_and_reply(_: Server, message: Message, writer: asyncio.StreamWriter) -> None:
+        attempt_times.append(loop.time())
+        reply(writer)
+
+    case.node.script = record_and_reply
+    return attempt_times
+
+
 async def request_until_status(case: PlatformCase, status: int) -> None:
     """Sends requests until a response has this status."""
     async with asyncio.timeout(TIMEOUT_S):
@@ -146,6 +147,35 @@
             await asyncio.sleep(0.01)
 
 
+class OutagesOfPolledDiscovery(PlatformCase):
+    """Guards against a pause between two polls that outlasts the 6 s after which a drain counts as notified.
+
+    STANDING: whatever else is allowed after a failed call, a change counts as notified at the latest 6 s
+    after discovery had it and could be reached.
+    """
+
+    setting_overrides = {"discovery": "ask", "fleet-size": 16, "rules": {"ask-within-us": 10_000_000}}
+    FAILED_CALLS, NOTIFIED_S = 3, 6.0
+
+    async def test_drain_set_at_the_end_of_an_outage_is_known_in_time(self) -> None:
+        """Discovery returns right after a call has failed, so that the whole next pause counts."""
+        loop = asyncio.get_running_loop()
+        self.discovery_server.listener.close()
+        for writer in list(self.discovery_server.writers):
+            writer.transport.abort()
+        for _ in range(self.FAILED_CALLS):
+            await self.program.wait_for_line("discovery failed")
+        self.discovery.set_endpoint("s-1", self.node.port, health="draining")
+        await self.discovery_server.start()
+        attempt_times, limit_s = record_attempts(self), loop.time() + self.NOTIFIED_S + 0.5 + SOCKET_SLACK_S
+        while loop.time() < limit_s + 1.0:
+            with contextlib.suppress(ConnectionError):
+                await self.client.request(X_Deadline_Ms="60")
+            await asyncio.sleep(0.05)
+        self.assertTrue(attempt_times)
+        self.assertEqual([at - limit_s for at in attempt_times if at > limit_s], [])
+
+
 class LongPolls(PlatformCase):
     """STANDING: a change that a silent long poll misses counts as notified 2 s after the end of its wait."""
 
@@ -167,3 +197,9 @@
         client, request_count = await self.connect(wait_until_ready=False), len(self.node.requests)
         self.assertEqual((await client.request(X_Deadline_Ms="300")).status, 503)
         self.assertEqual(len(self.node.requests), request_count)
+
+
+class LongPollsOfALargeFleet(LongPolls):
+    """Guards against a pause after a silent long poll that grows with the fleet."""
+
+    setting_overrides = {"discovery": "ask", "fleet-size": 40}
--- a/tests/scheduling/test_many_brokers_one_node.py
+++ b/tests/scheduling/test_many_brokers_one_node.py
@@ -10,6 +10,7 @@
 
 from lemonridge import Scheduler
 from lemonridge.net import discovery
+from lemonridge.net.watch_stream import JITTER
 from lemonridge.scheduling.actions import Action, Send
 from lemonridge.scheduling.events import (
     AttemptEnded,
@@ -245,7 +246,7 @@
 
 
 def discovery_answer_times(
-    initial_backoff_s: float, max_backoff_s: float, spread: bool, brokers: int = 40
+    initial_backoff_s: float, max_backoff_s: float, spread_s: float, brokers: int = 40
 ) -> list[float]:
     """Returns when the call of each broker is answered within 40 s, in seconds.
 
@@ -255,11 +256,11 @@
     Args:
         initial_backoff_s: The initial backoff.
         max_backoff_s: The maximum backoff.
-        spread: Whether the first calls are spread over the initial backoff. Otherwise all are made at once.
+        spread_s: The time over which the first calls are spread; 0 if all are made at once.
         brokers: The number of brokers.
     """
     rng, free_at, now, answer_times = random.Random(8), 0.0, 0.0, []
-    calls = [(initial_backoff_s * rng.random() if spread else 0.0, n, 0) for n in range(brokers)]
+    calls = [(spread_s * rng.random(), n, 0) for n in range(brokers)]
     while calls and now < 40:
         now, n, failures = min(calls)
         calls.remove((now, n, failures))
@@ -274,16 +275,30 @@
 
 def test_calls_of_many_brokers_are_spread_so_that_discovery_can_answer_them() -> None:
     settings = replace(SETTINGS, hosts=40, polls_endpoint_list=True, poll_within_us=10_000_000)
-    answer_times = discovery_answer_times(*discovery.backoff_bounds_s(settings), True)
+    spread_s = discovery.first_poll_spread_s(settings)
+    answer_times = discovery_answer_times(*discovery.backoff_bounds_s(settings), spread_s)
     assert len(answer_times) == 40 and sorted(answer_times)[35] < 10
     assert (
         len(
             discovery_answer_times(
-                *discovery.backoff_bounds_s(replace(settings, polls_endpoint_list=False)), False
+                *discovery.backoff_bounds_s(replace(settings, polls_endpoint_list=False)), 0.0
             )
         )
         < 30
     )
     assert discovery.backoff_bounds_s(replace(settings, hosts=3))[0] < 0.5
+
+
+@pytest.mark.parametrize("poll_within_us", [0, 400_000, 10_000_000, 30_000_000])
+@pytest.mark.parametrize("hosts", [1, 3, 16, 40, 200])
+def test_pauses_between_polls_leave_an_answer_its_time_before_a_change_counts_as_notified(
+    hosts: int, poll_within_us: int
+) -> None:
+    settings = replace(SETTINGS, hosts=hosts, polls_endpoint_list=True, poll_within_us=poll_within_us)
+    first_s, longest_s = discovery.backoff_bounds_s(settings)
+    assert first_s <= longest_s
+    assert longest_s * (1 + JITTER) + discovery.POLL_ANSWER_MAX_S <= 6.0
+    assert discovery.first_poll_spread_s(settings) + discovery.POLL_ANSWER_MAX_S <= 6.0
     # With `poll_within_us` 0 the settings do not limit the time between polls.
-    assert discovery.backoff_bounds_s(replace(settings, poll_within_us=0)) == (4.0, 8.0)
+    if poll_within_us:
+        assert longest_s <= poll_within_us / 1e6 and first_s <= poll_within_us / 2e6
