Let the configuration's list expire where a new process hears nothing of its agent

Cause: the configuration's list became the registry's and nothing asked whether the agent had been heard since: a wait on the agent without an end. STANDING: what the agent has counts as told from the first moment of a new process; PROTOCOL: 6 s later at the latest, whether it arrived or not.

Change: where an agent pushes the list, one that only the configuration has expires 5.5 s after it was read, 6 s less the start of the process. The broker is then not ready and sends nothing new until the agent answers. The list of a process that is replaced does not expire, nor one that must be asked for.

--- a/lemonridge/core/endpoint_registry.py
+++ b/lemonridge/core/endpoint_registry.py
@@ -65,6 +65,7 @@
         self._maintenance = Maintenance()
         self.has_list = False
         self.source_has_answered = asyncio.Event()
+        self._has_predecessor_list = False
 
     # The source's list
 
@@ -105,6 +106,26 @@
         self.has_list = self.has_list or bool(changes) or kind is EndpointListUpdate.SNAPSHOT
         self._publish(kind, changes)
 
+    def import_list(self, endpoints: list[EndpointAddress]) -> None:
+        """Uses the list of the process that this one replaces, unless the source has answered already.
+
+        That process has heard what the source had to tell, so its list does not expire.
+        """
+        if not self.source_has_answered.is_set():
+            self._has_predecessor_list = True
+            self.update(EndpointListUpdate.CACHED, endpoints)
+
+    def expire_cached_list(self) -> None:
+        """Discards the configuration's cached list, unless a newer one has replaced it.
+
+        Until the source answers there is no list then, and nothing new is sent to any endpoint.
+        """
+        if self.source_has_answered.is_set() or self._has_predecessor_list or not self._source_list:
+            return
+        log.warning("cached endpoint list expired", extra={"endpoints": len(self._source_list)})
+        self.update(EndpointListUpdate.CACHED, [])
+        self.has_list = False
+
     def source_list(self) -> tuple[EndpointAddress, ...]:
         """Returns the list as delivered by the source, without the bans applied."""
         return tuple(self._source_list.values())
--- a/lemonridge/service/admin.py
+++ b/lemonridge/service/admin.py
@@ -18,7 +18,6 @@
 from lemonridge.operate.handover import FIRST_LIST_TIMEOUT_US, HandedOverEndpoint, HandoverState
 from lemonridge.operate.lifecycle import Lifecycle, Phase
 from lemonridge.operate.maintenance import Bans
-from lemonridge.scheduling.events import EndpointListUpdate
 from lemonridge.service.service import Service
 
 log = logging.getLogger(__name__)
@@ -123,9 +122,9 @@
 
     def _import_state(self, state: HandoverState) -> None:
         """Applies the predecessor's state, with its endpoint list only if discovery has not answered yet."""
-        if not self._registry.source_has_answered.is_set():
-            endpoints = [EndpointAddress(listed.endpoint, listed.address) for listed in state.endpoints]
-            self._registry.update(EndpointListUpdate.CACHED, endpoints)
+        self._registry.import_list(
+            [EndpointAddress(listed.endpoint, listed.address) for listed in state.endpoints]
+        )
         self._registry.import_start_times(state.start_times)
         self._registry.import_bans(Bans(state.banned, state.returned))
         if state.drain_began_us is not None:
--- a/lemonridge/service/platform.py
+++ b/lemonridge/service/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import os
 from dataclasses import replace
@@ -12,7 +13,7 @@
 from lemonridge.core.counters import Counters
 from lemonridge.net.admin_server import AdminServer
 from lemonridge.net.connection_table import client_read_bytes
-from lemonridge.net.discovery import Discovery
+from lemonridge.net.discovery import MISSED_CHANGE_NOTIFIED_AFTER_S, Discovery
 from lemonridge.net.discovery_format import parse_endpoint_list
 from lemonridge.net.errors import MalformedListError
 from lemonridge.net.http_endpoints import HttpEndpoints
@@ -27,6 +28,8 @@
 
 OPEN_REQUESTS_FRACTION = 1 / 4  # of the process's socket limit; with more, queued requests are rejected
 VOLUMES_MEMORY_FRACTION = 1 / 16  # of the process's memory limit, for the state of volumes
+PROCESS_START_MAX_S = 0.5  # from the start of the process until its configuration is loaded
+CACHED_LIST_MAX_S = MISSED_CHANGE_NOTIFIED_AFTER_S - PROCESS_START_MAX_S  # without an answer of the agent
 VOLUME_BYTES = 2048  # that the scheduler needs at most for a volume with requests to a few shards
 
 
@@ -60,6 +63,8 @@
         self._set_maxima(config)
         self._log_settings()
         cached_seq = self._load_cached_list()
+        if not config.settings.polls_endpoint_list:
+            self._expire_cached_list_later()
         self._endpoints = HttpEndpoints(
             service.registry, service.clock, config, service.counters, client_read_bytes(config)
         )
@@ -111,6 +116,16 @@
         seq = cached.get("seq")
         return seq if isinstance(seq, int) and not isinstance(seq, bool) else None
 
+    def _expire_cached_list_later(self) -> None:
+        """Lets the cached list expire before a drain that an agent has had all along counts as notified.
+
+        What an agent has counts from the first moment of a new process, whether or not it is heard
+        (STANDING), and at the latest after the time of a missed change. Where discovery must be polled, what
+        it has told nobody does not count.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_at(loop.time() + CACHED_LIST_MAX_S, self.service.registry.expire_cached_list)
+
     def _watch_discovery(self, seq: int | None = None) -> None:
         """Follows discovery at the configured address; None for `seq` requests the complete list first."""
         discovery = Discovery(
--- a/tests/integration/test_drain_notifications.py
+++ b/tests/integration/test_drain_notifications.py
@@ -176,6 +176,51 @@
         self.assertEqual([at - limit_s for at in attempt_times if at > limit_s], [])
 
 
+class StartsBesideASilentAgent(PlatformCase):
+    """Guards against a new process that sends by its cached list for as long as the agent is silent.
+
+    STANDING: what an agent has counts as notified from the first moment of a new process; PROTOCOL: 6 s later
+    at the latest, whether or not it arrived.
+    """
+
+    NOTIFIED_S = 6.0
+
+    async def start_beside_silence(self) -> float:
+        """Starts a program with a cached list beside a silent discovery; returns when it was started."""
+        await self.discovery.go_silent()
+        started_at = asyncio.get_running_loop().time()
+        hosts = list(self.discovery.endpoints.values())
+        await self.launch(known_list={"seq": self.discovery.seq, "whole": True, "hosts": hosts})
+        self.client = await self.connect()
+        return started_at
+
+    async def request_until(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            with contextlib.suppress(ConnectionError):
+                await self.client.request(X_Deadline_Ms="60")
+            await asyncio.sleep(0.02)
+
+    async def test_cached_list_is_used_until_a_drain_counts_as_notified(self) -> None:
+        started_at = await self.start_beside_silence()
+        limit_s = started_at + self.NOTIFIED_S + 0.5 + SOCKET_SLACK_S
+        attempt_times = record_attempts(self)
+        await self.request_until(limit_s + 1.0)
+        self.assertTrue(attempt_times)
+        self.assertEqual([at - limit_s for at in attempt_times if at > limit_s], [])
+        not_ready = await self.client.exchange(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(not_ready.status, 503)
+        self.discovery.silent = False
+        await request_until_status(self, 200)
+
+    async def test_cached_list_of_a_polled_discovery_stays_in_use(self) -> None:
+        """What nobody could be told does not count, where discovery must be polled."""
+        self.setting_overrides = {"discovery": "ask"}
+        started_at = await self.start_beside_silence()
+        await sleep_until(started_at + self.NOTIFIED_S + 1.0)
+        self.assertEqual((await self.client.request(X_Deadline_Ms="300")).status, 200)
+
+
 class LongPolls(PlatformCase):
     """STANDING: a change that a silent long poll misses counts as notified 2 s after the end of its wait."""
 
--- a/tests/integration/test_process_handover.py
+++ b/tests/integration/test_process_handover.py
@@ -29,6 +29,8 @@
 )
 from test_operators import call
 
+from lemonridge.service.platform import CACHED_LIST_MAX_S
+
 pytestmark = pytest.mark.serial
 
 LIMIT_UNITS = 8.0  # the limit in units a second, and the burst in units
@@ -250,6 +252,15 @@
                 self.assertEqual((await (await self.connect()).request()).status, 200)
                 server.close()
 
+    async def test_list_of_the_predecessor_does_not_expire_beside_a_silent_agent(self) -> None:
+        """The predecessor has heard the agent, unlike a new process with its configuration's list alone."""
+        await self.discovery.go_silent()
+        successor, _ = await self.start_successor()
+        await successor.wait_for_line('event="taken over"')
+        await self.program.stop()
+        await asyncio.sleep(CACHED_LIST_MAX_S + 1.0)
+        self.assertEqual((await (await self.connect()).request()).status, 200)
+
     async def test_handover_works_with_a_long_tmpdir_and_a_private_socket(self) -> None:
         self.folder = os.path.join(self.folder, "d" * 120)
         os.mkdir(self.folder)
