Rename net.watch_stream to net.backoff, which is all that it still holds

Need: its session went with DeadlineSession, and only the backoff is left.

No behaviour is changed.

--- a/lemonridge/etcd/follower.py
+++ b/lemonridge/etcd/follower.py
@@ -14,8 +14,8 @@
 from lemonridge.etcd.errors import CompactedError, MissedChangeError, SilentWatchError
 from lemonridge.etcd.events import Event
 from lemonridge.etcd.synced_keys import SyncedKeys
+from lemonridge.net.backoff import Backoff
 from lemonridge.net.deadline_session import DeadlineSession
-from lemonridge.net.watch_stream import Backoff
 
 log = logging.getLogger(__name__)
 
--- a/lemonridge/net/discovery.py
+++ b/lemonridge/net/discovery.py
@@ -14,6 +14,7 @@
 
 from lemonridge.core.counters import Counters
 from lemonridge.core.endpoint_registry import EndpointRegistry
+from lemonridge.net.backoff import JITTER, Backoff
 from lemonridge.net.deadline_session import (
     ANSWER_MAX_S,
     CALL_ERRORS,
@@ -23,7 +24,6 @@
 )
 from lemonridge.net.discovery_format import parse_answer
 from lemonridge.net.errors import AnswerTooLongError, DiscoveryStatusError, MalformedListError
-from lemonridge.net.watch_stream import JITTER, Backoff
 from lemonridge.scheduling import MAX_POLL_BACKOFF_US
 from lemonridge.scheduling.events import EndpointListUpdate
 from lemonridge.scheduling.settings import Settings
--- a/tests/scheduling/test_many_brokers_one_node.py
+++ b/tests/scheduling/test_many_brokers_one_node.py
@@ -10,7 +10,7 @@
 
 from lemonridge import Scheduler
 from lemonridge.net import discovery
-from lemonridge.net.watch_stream import JITTER
+from lemonridge.net.backoff import JITTER
 from lemonridge.scheduling.actions import Action, Send
 from lemonridge.scheduling.events import (
     AttemptEnded,
