Keep bans and slow starts when the configuration's list expires

Cause: let the list expire by an update with no entries, which also drops what is known of ended bans (a node that an operator has brought back starts slowly), and it took a predecessor's empty list for one that had been heard. Found by reading the change.

Change: the list is withdrawn from the scheduler alone; an empty list of a predecessor replaces nothing.

--- a/lemonridge/core/endpoint_registry.py
+++ b/lemonridge/core/endpoint_registry.py
@@ -109,22 +109,24 @@
     def import_list(self, endpoints: list[EndpointAddress]) -> None:
         """Uses the list of the process that this one replaces, unless the source has answered already.
 
-        That process has heard what the source had to tell, so its list does not expire.
+        That process has heard what the source had to tell, so its list does not expire. If it has heard
+        nothing either, its list is empty.
         """
-        if not self.source_has_answered.is_set():
+        if endpoints and not self.source_has_answered.is_set():
             self._has_predecessor_list = True
             self.update(EndpointListUpdate.CACHED, endpoints)
 
     def expire_cached_list(self) -> None:
         """Discards the configuration's cached list, unless a newer one has replaced it.
 
-        Until the source answers there is no list then, and nothing new is sent to any endpoint.
+        Until the source answers there is no list then, and nothing new is sent to any endpoint. What is known
+        of bans and start times stays.
         """
         if self.source_has_answered.is_set() or self._has_predecessor_list or not self._source_list:
             return
         log.warning("cached endpoint list expired", extra={"endpoints": len(self._source_list)})
-        self.update(EndpointListUpdate.CACHED, [])
-        self.has_list = False
+        self._source_list, self._endpoints, self.has_list = {}, {}, False
+        self._publish(EndpointListUpdate.CACHED, [])
 
     def source_list(self) -> tuple[EndpointAddress, ...]:
         """Returns the list as delivered by the source, without the bans applied."""
