Synchronize the shards that served writes ahead of the map

Cause: a route that follows a redirect changes its own piece only, and the shards of a command for a whole LUN came from the map.

RedirectedWrites remembers the last shard of each extent that served a write ahead of the map, from before the write's answer until the map has that version. Commands for a whole LUN that write go there too.

Open: what another broker or an earlier process wrote (docs/incidents/synchronized-write-lost-with-its-node.md).

--- a/lemonridge/core/broker.py
+++ b/lemonridge/core/broker.py
@@ -191,6 +191,8 @@
                 outcome = await self._make_attempt(mailbox, attempt)
                 latency_us = host.clock.now_us() - sent_us
                 if outcome.result is AttemptResult.OK:
+                    if routes is not None:
+                        routes.on_served(request)
                     self._answer_served(mailbox, outcome)
                 host.deliver(self._attempt_ended(mailbox, attempt, outcome, latency_us))
                 if routes is not None and mailbox.answer is None:
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -180,6 +180,10 @@
         """Stops following a request's data."""
         ...
 
+    def on_served(self, request: Request) -> None:
+        """Records that an attempt served a request; called before the answer is delivered."""
+        ...
+
     def current(self, request: Request) -> int:
         """Returns the last known shard of the request's data."""
         ...
--- a/lemonridge/extents/router.py
+++ b/lemonridge/extents/router.py
@@ -19,6 +19,7 @@
 from lemonridge.extents import routing
 from lemonridge.extents.errors import MapError
 from lemonridge.extents.extent_map import Change, ChangeResult, Extent, ExtentMap, MapBuilder
+from lemonridge.extents.redirected_writes import RedirectedWrites
 from lemonridge.extents.refresh import ExtentKey, RefreshBatch, RefreshQueue
 from lemonridge.extents.routing import Limits, MapTrust, Redirect, Route, RouteAction, RouteDecision
 
@@ -77,6 +78,7 @@
         self.map_writer: MapWriter | None = None
         self.on_resize: Callable[[list[int]], None] = lambda volumes: None
         self._clock, self._registry = clock, registry
+        self._redirected_writes = RedirectedWrites()
         self._refresh_queue = RefreshQueue()
         self._refresh_waiters: dict[int, asyncio.Future[None]] = {}  # by batch number
         self._open_routes: dict[ExtentKey, dict[int, tuple[Route, Callable[[int], None]]]] = {}
@@ -125,6 +127,7 @@
             self.confirm()
             if self.map_writer is not None:
                 self.map_writer.save_map(self.map)
+        self._redirected_writes.discard_all_reached(self.map)
         for key in list(self._open_routes):
             self._notify_routes(key)
         self._notify_resized(sizes_before)
@@ -143,8 +146,10 @@
         if result is ChangeResult.APPLIED:
             if self.map_writer is not None:
                 self.map_writer.save_change(change)
+            for key in change.removed:
+                self._redirected_writes.discard_reached(self.map, key)
             for extent in change.extents:
-                self._notify_routes((extent.volume, extent.first))
+                self._on_extent_changed((extent.volume, extent.first))
             self._notify_resized(sizes_before)
         elif result is not ChangeResult.STALE:
             log.warning(
@@ -206,7 +211,13 @@
             RouteError: The command cannot be routed now.
         """
         return routing.shards_of_volume(
-            self.map, self.trust, self.limits, volume, writes, self._clock.now_us()
+            self.map,
+            self.trust,
+            self.limits,
+            volume,
+            writes,
+            self._clock.now_us(),
+            self._redirected_writes.shards(volume),
         )
 
     # The core's `Routes` protocol
@@ -229,6 +240,13 @@
         if not routes:
             self._open_routes.pop(_extent_key(route), None)
 
+    def on_served(self, request: Request) -> None:
+        """Records the shard that served a write, if the map does not name it for the write's extent."""
+        route = _route_of(request)
+        if route.writes and route.ahead_of_map:
+            self._redirected_writes.record(route.piece)
+            self._redirected_writes.discard_reached(self.map, _extent_key(route))
+
     def current(self, request: Request) -> int:
         """Returns the present shard of a request's piece, as far as the map knows it."""
         route = _route_of(request)
@@ -252,7 +270,10 @@
         redirect = reply if isinstance(reply, Redirect) else Redirect()
         self.counters["redirects"] += 1
         known_shards = self._registry.active_shards()
-        decision = routing.on_redirect(self.map, self.limits, route, redirect, known_shards)
+        ahead_of_map_allowed = not (route.writes and self._redirected_writes.is_full)
+        decision = routing.on_redirect(
+            self.map, self.limits, route, redirect, known_shards, ahead_of_map_allowed
+        )
         while decision.action is RouteAction.REFRESH:
             decision = await self._decide_after_update(route, decision)
         if decision.action is RouteAction.REJECT:
@@ -291,6 +312,11 @@
             del self._update_waiters[id(route)]
         return routing.on_refresh(self.map, self.limits, route)
 
+    def _on_extent_changed(self, key: ExtentKey) -> None:
+        """Updates what depends on the map's version of an extent."""
+        self._redirected_writes.discard_reached(self.map, key)
+        self._notify_routes(key)
+
     def _notify_routes(self, key: ExtentKey) -> None:
         """Updates the open routes of an extent after a change.
 
@@ -358,7 +384,7 @@
             for extent in extents:
                 if self.map.merge(extent):
                     self.counters["refreshes.news"] += 1
-                    self._notify_routes((extent.volume, extent.first))
+                    self._on_extent_changed((extent.volume, extent.first))
         except Exception as error:  # no error of the source may stop later refreshes
             self.counters["refreshes.failed"] += 1
             log.warning("refresh failed", extra={"error": f"{type(error).__name__}: {error}"})
--- a/lemonridge/extents/routing.py
+++ b/lemonridge/extents/routing.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass
 from enum import Enum
 
@@ -179,20 +180,40 @@
 
 
 def shards_of_volume(
-    extent_map: ExtentMap, trust: MapTrust, limits: Limits, volume: int, writes: bool, now_us: int
+    extent_map: ExtentMap,
+    trust: MapTrust,
+    limits: Limits,
+    volume: int,
+    writes: bool,
+    now_us: int,
+    redirected_shards: Set[int] = frozenset(),
 ) -> list[int]:
     """Returns the shards of a command that applies to a whole volume, in ascending order.
 
+    A command that writes also goes to the shards that served writes ahead of the map. They do not count
+    against the limit on pieces, since the map soon names them.
+
+    Args:
+        extent_map: The map.
+        trust: Whether and when the source has confirmed the map.
+        limits: The operator's limits.
+        volume: The LUN.
+        writes: Whether the command writes.
+        now_us: The current time.
+        redirected_shards: The shards that served writes to the volume ahead of the map.
+
     Raises:
         RouteError: The map may not be used, the volume is not in the map, or there are too many shards.
     """
     trust.check_usable(extent_map, limits, writes, now_us)
-    shards = sorted(extent_map.shards(volume))
+    shards = extent_map.shards(volume)
     if not shards:
         raise RouteError(RouteRejectReason.NOT_MAPPED)
     if len(shards) > limits.pieces:
         raise RouteError(RouteRejectReason.TOO_MANY_PIECES)
-    return shards
+    if writes:
+        shards |= redirected_shards
+    return sorted(shards)
 
 
 def follow_newer_map(extent_map: ExtentMap, route: Route) -> bool:
@@ -209,13 +230,19 @@
 
 
 def on_redirect(
-    extent_map: ExtentMap, limits: Limits, route: Route, redirect: Redirect, known_shards: frozenset[int]
+    extent_map: ExtentMap,
+    limits: Limits,
+    route: Route,
+    redirect: Redirect,
+    known_shards: frozenset[int],
+    ahead_of_map_allowed: bool = True,
 ) -> RouteDecision:
     """Decides on the next step after a node has refused an attempt with a redirect.
 
     The route follows the map if the map's version is newer than that of the refused attempt and not older
     than the redirect's. Otherwise the route follows the redirect if the redirect's version is newer than both
-    the route's and the map's, and if its shard has a node. In all other cases the extent is refreshed. A
+    the route's and the map's, if its shard has a node and if the route may run ahead of the map. In all other
+    cases the extent is refreshed. A
     version that is not newer proves nothing: the redirect may be stale, two nodes may redirect to each other,
     or the extent's new owner may not know of the handover yet.
 
@@ -225,6 +252,7 @@
         route: The route; its shard and version are updated if the decision is to follow.
         redirect: The node's redirect.
         known_shards: The shards that have a node.
+        ahead_of_map_allowed: Whether the route may follow a version that the map does not have.
     """
     route.redirects += 1
     if route.redirects > limits.redirects:
@@ -235,7 +263,8 @@
     route_version = route.piece.version
     if current.version > route_version and current.version >= redirect.version:
         return _follow(route, current.shard, current.version, ahead_of_map=False)
-    if redirect.version > max(route_version, current.version) and redirect.shard in known_shards:
+    is_ahead_of_map = redirect.version > max(route_version, current.version)
+    if is_ahead_of_map and ahead_of_map_allowed and redirect.shard in known_shards:
         return _follow(route, redirect.shard, redirect.version, ahead_of_map=True)
     return _refresh_or_reject(limits, route)
 
--- a/lemonridge/iscsi/mapped.py
+++ b/lemonridge/iscsi/mapped.py
@@ -180,9 +180,10 @@
                 if error.reason is RouteRejectReason.TOO_MANY_PIECES
                 else scsi.Reply(scsi.Status.BUSY)
             )
-        # SYNCHRONIZE CACHE goes to every shard that may hold written blocks. A shard that has handed over an
-        # extent is not needed for it, since a handover makes the extent's blocks durable. All other commands
-        # without blocks get the same reply from every node.
+        # SYNCHRONIZE CACHE goes to every shard that may hold written blocks, including those that served
+        # writes ahead of the map. A shard that has handed over an extent is not needed for it, since a
+        # handover makes the extent's blocks durable. All other commands without blocks get the same reply
+        # from every node.
         requests = [
             make_request(
                 self._config, command, lun, shard, deadline_us, has_initiator_disconnected, reservation
--- a/lemonridge/lab/standins/node.py
+++ b/lemonridge/lab/standins/node.py
@@ -120,6 +120,7 @@
         log: Executed commands.
         command_start_times: The loop's time in seconds at which each accepted command arrived.
         refused: Number of refused commands.
+        synchronizations: Number of SYNCHRONIZE CACHE commands.
         delay_s: Draws the duration of a command, in seconds.
         incarnation: Number of kills so far.
     """
@@ -149,7 +150,7 @@
         self.redirects: dict[ExtentKey, Redirect] = {}
         self.log: list[ExecutedCommand] = []
         self.command_start_times: list[float] = []
-        self.refused = 0
+        self.refused = self.synchronizations = 0
         self.delay_s: Callable[[], float] = lambda: 0.0
         self._connections: set[_Connection] = set()
         self._idle = asyncio.Condition()
@@ -322,6 +323,7 @@
 
     def _on_command(self, pdu: Pdu) -> None:
         lun, opcode = unpack_lun(pdu.lun), pdu.cdb[0]
+        self.node.synchronizations += opcode in scsi.SYNCHRONIZE
         if (
             lun is None or opcode not in scsi.READ_WRITE_CDB_BYTES
         ):  # commands without effect, such as TEST UNIT READY
--- a/tests/core/test_broker.py
+++ b/tests/core/test_broker.py
@@ -9,7 +9,7 @@
 
 from lemonridge.core.broker import Broker
 from lemonridge.core.errors import ConnectFailedError
-from lemonridge.core.model import AnswerKind, Attempt, Outcome, Request
+from lemonridge.core.model import Answer, AnswerKind, Attempt, Outcome, Request
 from lemonridge.scheduling.actions import Action, Cancel, Fail, Reject, RejectReason, Send
 from lemonridge.scheduling.events import (
     AttemptEnded,
@@ -243,6 +243,7 @@
             The kind of the answer and the `AttemptEnded` events.
         """
         test = self
+        answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
 
         class Route:
             attempt_in_flight, shard = False, 0
@@ -254,6 +255,9 @@
             def close(self, request: Request) -> None:
                 test.closed = True
 
+            def on_served(self, request: Request) -> None:
+                test.answered_at_record = answered.done()
+
             def current(self, request: Request) -> int:
                 return 0
 
@@ -284,7 +288,8 @@
         request = self.new_request()
         request.route = route
 
-        answer = await broker.serve(request)
+        broker.submit(request, answered.set_result)
+        answer = await answered
         await self.wait_until_all_requests_are_closed()
         self.assertTrue(self.was_in_flight and self.closed and not route.attempt_in_flight)
         return answer.kind, self.scheduler.events_of_type(AttemptEnded)
@@ -297,6 +302,7 @@
             [(event.request, event.attempt, event.endpoint_id, event.result.name) for event in ended],
             [("r1", 0, "n0", "DATA_MIGRATED"), ("r1", 1, "n1", "DATA_MIGRATED"), ("r1", 2, "n2", "OK")],
         )
+        self.assertIs(self.answered_at_record, False)  # recorded once, before the client knows
 
     async def test_migration_to_unknown_shard_is_rejected_by_scheduler(self) -> None:
         kind, ended = await self.serve_request_with_migrating_data([None])
--- a/tests/integration/test_extents_live.py
+++ b/tests/integration/test_extents_live.py
@@ -247,6 +247,44 @@
         self.assertEqual(node.command_start_times, [])
 
 
+class SynchronizedWrites(ExtentCase):
+    async def synchronize(self) -> list[int]:
+        """Sends SYNCHRONIZE CACHE; returns how often each node has received the command so far."""
+        response = await self.session.answer(self.session.command(b"\x35" + bytes(9)))
+        self.assertEqual(response[0], GOOD)
+        return [node.synchronizations for node in self.nodes]
+
+    async def move_all_extents_to_node_0(self) -> None:
+        await self.move(2, 0)
+        await self.move(1, 0)
+        await self.program.wait_for_counter("map.applied", 2)
+
+    async def test_redirected_write_is_synchronized_before_the_map_knows_its_shard(self) -> None:
+        """Otherwise an acknowledged and synchronized write is lost with its node."""
+        await self.move_all_extents_to_node_0()
+        self.assertEqual(await self.synchronize(), [1, 0, 0])
+        await self.move(1, 2, publish=False)
+        self.assertEqual(await self.write(1, 16, 4), GOOD)
+        self.assertEqual(self.executed_blocks(), [("n2", 4)])
+        self.assertEqual(await self.synchronize(), [2, 0, 1])
+
+    async def test_synchronization_fails_while_the_shard_of_a_redirected_write_is_down(self) -> None:
+        await self.move_all_extents_to_node_0()
+        await self.move(1, 2, publish=False)
+        self.assertEqual(await self.write(1, 16, 4), GOOD)
+        self.nodes[2].kill()
+        response = await self.session.answer(self.session.command(b"\x35" + bytes(9)))
+        self.assertNotEqual(response[0], GOOD)
+
+    async def test_shard_is_not_synchronized_after_the_map_knows_of_a_later_handover(self) -> None:
+        await self.move_all_extents_to_node_0()
+        await self.move(1, 2, publish=False)
+        self.assertEqual(await self.write(1, 16, 4), GOOD)
+        await self.move(1, 1)
+        await self.program.wait_for_counter("map.applied", 3)
+        self.assertEqual(await self.synchronize(), [1, 1, 0])
+
+
 class StaleRequestBurst(ExtentCase):
     deadline_ms = 9000
 
