Keep garbage collections short while tests judge latencies

Cause, as far as it was traced here: full garbage collections in the test's process, which is client, nodes and judge, and which holds what the whole run has imported and collected. A watch in the test's process saw collections of 57 to 85 ms in 5 of 14 floods of a run of all serial tests; the p99 of these was 43, 56, 69, 86 and 96 ms (the padded requests 96, 44 to 48 alone). Two forced ones of 100 ms in the flood took the padded requests to 127 and 158 ms and to 22 and 23 connections.

Before a test that is marked serial all present objects are now collected once and left out of later collections.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import gc
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from pathlib import Path
 
@@ -58,6 +59,22 @@
         terminalreporter.write_line(f"known red, passed over: {name} | {reason}")
 
 
+@pytest.fixture(autouse=True)
+def short_garbage_collections(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Keeps full garbage collections short during tests that judge latencies in real time.
+
+    The process of such a test is client, node and judge. A full collection over all that a run has imported
+    and collected stops it for up to 100 ms, which would count as latency of the program.
+    """
+    if request.node.get_closest_marker("serial") is None:
+        yield
+        return
+    gc.collect()
+    gc.freeze()
+    yield
+    gc.unfreeze()
+
+
 READ = RequestClass(300_000, 1_500_000, IdempotencyKind.IDEMPOTENT, DeduplicationScope.ALL, 0, False, 3.0)
 WRITE = RequestClass(
     500_000, 4_000_000, IdempotencyKind.WITH_IDEMPOTENCY_KEY, DeduplicationScope.SHARD, 2_000_000, True, 2.0
