Hold back answers and later commands until aborted writes have ended

Cause: an abort ends the command in the broker alone, and nothing waited for the attempt that the node went on with.

UnfinishedCommands keeps each write whose task has ended while a request of it is open in the core, which now tells the command's NodeActivity where it told the memory reservation. Answers to what aborts commands wait for such writes, and so do commands of any session at the same blocks, with BUSY at their deadline. All end with the node's answer or the write's deadline.

--- a/lemonridge/core/memory_budget.py
+++ b/lemonridge/core/memory_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 
 class MemoryBudget:
     """A number of bytes that reservations share.
@@ -23,6 +25,18 @@
         return self.reserved_bytes + count <= self.max_bytes
 
 
+class Hold(Protocol):
+    """What is kept while a request is open."""
+
+    def hold(self) -> None:
+        """Takes note that a request was opened."""
+        ...
+
+    def release(self) -> None:
+        """Takes note that a request was closed; called once for each call of `hold`."""
+        ...
+
+
 class Reservation:
     """The part of a budget that belongs to the data of one request.
 
--- a/lemonridge/core/model.py
+++ b/lemonridge/core/model.py
@@ -8,7 +8,7 @@
 from typing import Protocol, runtime_checkable
 
 from lemonridge.core.errors import AttemptSuppressedError
-from lemonridge.core.memory_budget import Reservation
+from lemonridge.core.memory_budget import Hold
 from lemonridge.scheduling.events import AttemptResult
 
 
@@ -63,7 +63,7 @@
     route: Route | None = None
     repeat: bool = False
     has_client_disconnected: Callable[[], bool] = lambda: False
-    reservation: Reservation | None = None
+    reservation: Hold | None = None
     forwarded: bool = False
 
 
--- a/lemonridge/iscsi/device.py
+++ b/lemonridge/iscsi/device.py
@@ -146,6 +146,11 @@
 HARDWARE_ERROR = 0x04  # sense key (SPC-4, table 27)
 
 
+def aborts_commands(cdb: bytes) -> bool:
+    """Returns whether a command is PERSISTENT RESERVE OUT with PREEMPT AND ABORT."""
+    return cdb[0] == PERSISTENT_RESERVE_OUT and cdb[1] & 0x1F == Action.PREEMPT_AND_ABORT
+
+
 class Device:
     """The device server of all logical units of the front.
 
--- a/lemonridge/iscsi/mapped.py
+++ b/lemonridge/iscsi/mapped.py
@@ -10,7 +10,7 @@
 
 from lemonridge.core.broker import Broker
 from lemonridge.core.counters import Counters
-from lemonridge.core.memory_budget import Reservation
+from lemonridge.core.memory_budget import Hold
 from lemonridge.core.model import Answer, AnswerKind, Request
 from lemonridge.extents.carrier import PieceExecutor
 from lemonridge.extents.errors import RouteError, RouteRejectReason
@@ -49,7 +49,7 @@
     shard: int,
     deadline_us: int,
     has_initiator_disconnected: Callable[[], bool],
-    reservation: Reservation | None,
+    reservation: Hold | None,
 ) -> Request:
     """Returns the core's request for a command or for one piece of a command.
 
@@ -60,7 +60,7 @@
         shard: The shard that serves it.
         deadline_us: When the initiator gives up, in microseconds of the broker's clock.
         has_initiator_disconnected: Returns whether the initiator has disconnected.
-        reservation: The memory reserved for the command's data, if any.
+        reservation: Held while a request of the command is open; None if nothing is held.
     """
     return Request(
         shard=shard,
@@ -150,7 +150,7 @@
         lun: Lun,
         deadline_us: int,
         has_initiator_disconnected: Callable[[], bool],
-        reservation: Reservation | None,
+        reservation: Hold | None,
     ) -> scsi.Reply:
         """Serves a command.
 
@@ -161,7 +161,7 @@
             lun: The LUN that it is addressed to.
             deadline_us: When the initiator gives up, in microseconds of the broker's clock.
             has_initiator_disconnected: Returns whether the initiator has disconnected.
-            reservation: The memory reserved for the command's data, if any.
+            reservation: Held while a request of the command is open; None if nothing is held.
 
         Returns:
             The reply for the initiator.
@@ -198,7 +198,7 @@
         lun: Lun,
         deadline_us: int,
         has_initiator_disconnected: Callable[[], bool],
-        reservation: Reservation | None,
+        reservation: Hold | None,
     ) -> scsi.Reply:
         """Serves a READ or WRITE, with one request for each extent that it touches.
 
--- a/lemonridge/iscsi/pdu.py
+++ b/lemonridge/iscsi/pdu.py
@@ -69,6 +69,7 @@
     TASK_STILL_ALLEGIANT = 3
     REASSIGNMENT_NOT_SUPPORTED = 4
     FUNCTION_NOT_SUPPORTED = 5
+    FUNCTION_REJECTED = 255
 
 
 class HeaderDigestError(Exception):
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -23,6 +23,7 @@
 from lemonridge.iscsi.reservation_file import ReservationFile
 from lemonridge.iscsi.session import Session, SessionEndedError
 from lemonridge.iscsi.task import Task
+from lemonridge.iscsi.unfinished_commands import UnfinishedCommands
 from lemonridge.net.listener import Listener, listening_socket
 from lemonridge.scheduling.events import EndpointState
 
@@ -56,6 +57,7 @@
         sessions: The sessions, by TSIH.
         buffer_budget: Bounds the data of the commands of all sessions, by their transfer lengths, from their
             receipt until nothing needs the data any more.
+        unfinished_commands: Writes that have ended for their initiators while a node may execute them.
         stopping: Whether the front no longer accepts logins.
         login_attempts: Bounds the failed logins of each IP address.
         login_rules: What logins are checked against.
@@ -78,6 +80,7 @@
         self.connections: set[Connection] = set()
         self.sessions: dict[int, Session] = {}
         self.buffer_budget = MemoryBudget(config.buffer_bytes)
+        self.unfinished_commands = UnfinishedCommands()
         self.stopping = False
         self.login_attempts = FailedLoginLimiter(config.login_failures)
         self.login_rules = LoginPolicy(
--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -17,13 +17,14 @@
 from lemonridge.iscsi import scsi
 from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection
 from lemonridge.iscsi.config import IscsiConfig
-from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS, Device, Nexus
+from lemonridge.iscsi.device import LOCAL_DATA_OUT_COMMANDS, Device, Nexus, aborts_commands
 from lemonridge.iscsi.keys import NegotiatedParameters
 from lemonridge.iscsi.mapped import MappedLuns, make_request, reply_from_answer, request_class_of
 from lemonridge.iscsi.pdu import FINAL, RESERVED_TAG, ManagementResponse, Op, Pdu, PduError, unpack_lun
 from lemonridge.iscsi.task import Task
 from lemonridge.iscsi.task_order import TaskOrder
 from lemonridge.iscsi.transfer import DataInPdu, Inbound, Outbound, ReadyToTransfer, TransferError
+from lemonridge.iscsi.unfinished_commands import NodeActivity, UnfinishedCommands
 from lemonridge.net.sockets import peer_has_closed
 
 TASK_ATTRIBUTE_MASK = 0x07  # in the flags of a SCSI Command PDU (RFC 7143, section 11.3.1)
@@ -42,6 +43,7 @@
     broker: Broker
     buffer_budget: MemoryBudget
     mapped_luns: MappedLuns | None
+    unfinished_commands: UnfinishedCommands
 
     def answer_locally(self, nexus: Nexus, command: scsi.Command) -> scsi.Reply | None:
         """Returns the reply to a command that the broker answers itself; None if a node has to execute it."""
@@ -133,6 +135,7 @@
             self.respond(task, reply)
             return
         task.reservation = Reservation(front.buffer_budget, length)
+        task.activity = NodeActivity(command.lun, command.cdb, task.reservation)
         if writes:
             task.inbound = Inbound(length, pdu.data, agreed, more_data_follows, self._last_transfer_tag)
             task.last_data_s = front.loop.time()
@@ -159,8 +162,10 @@
 
     def _execution_ended(self, task: Task, order: TaskOrder, _: asyncio.Task[None]) -> None:
         """Lets later commands run, and releases the hold of `_run` on the reservation."""
-        self._remove_from_order(task, order)
+        assert task.activity is not None
         assert task.reservation is not None
+        self._front.unfinished_commands.abandon(task.activity)
+        self._remove_from_order(task, order)
         task.reservation.release()
 
     def _remove_from_order(self, task: Task, order: TaskOrder) -> None:
@@ -171,11 +176,19 @@
                 run_event.set()
 
     async def _wait_for_earlier_tasks(self, task: Task, deadline_us: int) -> bool:
-        """Waits until the task order lets a command run.
+        """Waits until the task order and the abandoned writes at the command's blocks let it run.
 
         Returns:
             False if earlier commands still hold it back at the deadline.
         """
+        if not await self._wait_for_task_order(task, deadline_us):
+            return False
+        deadline_s = self._front.clock.loop_time(deadline_us)
+        command = task.command
+        return await self._front.unfinished_commands.wait_for_blocks(command.lun, command.cdb, deadline_s)
+
+    async def _wait_for_task_order(self, task: Task, deadline_us: int) -> bool:
+        """Waits until the task order lets a command run; returns False if it does not by the deadline."""
         if self._task_orders[task.command.lun].may_run(task):
             return True
         run_event = self._run_events[task] = asyncio.Event()
@@ -209,7 +222,7 @@
                 self.respond(task, scsi.Reply(scsi.Status.BUSY))
                 return
             if command.cdb[0] in LOCAL_DATA_OUT_COMMANDS:
-                self.respond(task, front.device.execute_with_data(self._session.nexus, command))
+                self.respond(task, await self._execute_with_data(command))
             elif lun.mapped and front.mapped_luns is not None:
                 self.respond(
                     task,
@@ -218,7 +231,7 @@
                         lun,
                         deadline_us,
                         partial(self._has_initiator_disconnected, task),
-                        task.reservation,
+                        task.activity,
                     ),
                 )
             else:
@@ -229,7 +242,7 @@
                     lun.shard,
                     deadline_us,
                     partial(self._has_initiator_disconnected, task),
-                    task.reservation,
+                    task.activity,
                 )
                 self.respond(task, reply_from_answer(await front.broker.serve(request)))
             self._remove_from_order(task, self._task_orders[command.lun])
@@ -241,6 +254,18 @@
             if task.status is None and not task.aborted and task.reply is None:
                 self._session.abort(task)
 
+    async def _execute_with_data(self, command: scsi.Command) -> scsi.Reply:
+        """Executes a command that the broker answers itself once it has the command's data.
+
+        PREEMPT AND ABORT ends when the commands that it has aborted have no further effect (SPC-4, section
+        5.13.11.5).
+        """
+        front = self._front
+        reply = front.device.execute_with_data(self._session.nexus, command)
+        if aborts_commands(command.cdb):
+            await front.unfinished_commands.wait_for(front.unfinished_commands.at_lun(command.lun))
+        return reply
+
     def _has_initiator_disconnected(self, task: Task) -> bool:
         """Returns whether the initiator has closed the task's connection.
 
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -426,7 +426,7 @@
     # Tasks
 
     def abort(self, task: Task) -> None:
-        """Ends a task without a response.
+        """Ends a task without a response; a node that has begun to execute it goes on.
 
         Args:
             task: A task of this session.
@@ -434,6 +434,8 @@
         task.aborted = True
         if task.execution is not None:
             task.execution.cancel()
+        if task.activity is not None:
+            self.front.unfinished_commands.abandon(task.activity)
         self.remove_task(task)
 
     def status_sent(self, task: Task) -> None:
--- a/lemonridge/iscsi/task.py
+++ b/lemonridge/iscsi/task.py
@@ -10,6 +10,7 @@
 from lemonridge.iscsi.allegiance import Allegiance, InitiatorConnection
 from lemonridge.iscsi.pdu import Pdu
 from lemonridge.iscsi.transfer import Inbound, Outbound
+from lemonridge.iscsi.unfinished_commands import NodeActivity
 
 
 @dataclass(slots=True, eq=False)
@@ -29,6 +30,7 @@
         progress: Set when data of the command was received.
         aborted: Whether the command was aborted; it gets no response.
         reservation: The command's part of the front's buffer limit; None if it is answered at once.
+        activity: Whether nodes may be executing the command; None if it is answered at once.
         outstanding_r2ts: Number of unanswered R2Ts.
         last_data_s: Event loop time in seconds at which data was last received, or a stall was detected.
     """
@@ -45,6 +47,7 @@
     progress: asyncio.Event = field(default_factory=asyncio.Event)
     aborted: bool = False
     reservation: Reservation | None = None
+    activity: NodeActivity | None = None
     outstanding_r2ts: int = 0
     last_data_s: float = 0.0
 
--- a/lemonridge/iscsi/task_management.py
+++ b/lemonridge/iscsi/task_management.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 
 from lemonridge.iscsi.allegiance import Allegiance, ReceivedPdu
@@ -17,7 +18,9 @@
 )
 from lemonridge.iscsi.runner import CommandFront, TaskRunner
 from lemonridge.iscsi.task import Task
+from lemonridge.iscsi.unfinished_commands import NodeActivity
 
+RESPONSES_WAITING_MAX = 64  # of one session, for writes that a node still executes
 TARGET_RESETS = frozenset((ManagementFunction.TARGET_WARM_RESET, ManagementFunction.TARGET_COLD_RESET))
 LUN_FUNCTIONS = frozenset(  # which name a LUN
     (
@@ -75,11 +78,14 @@
 
     def __init__(self, session: ManagedSession) -> None:
         self._session = session
+        self._waiting_responses: set[asyncio.Task[None]] = set()
 
     def execute(self, allegiance: Allegiance, pdu: Pdu) -> None:
         """Executes a task management request and sends its response (RFC 7143, sections 11.5 and 11.6).
 
-        An aborted task gets no SCSI Response, and whether its command had an effect is unknown.
+        An aborted task gets no SCSI Response, and whether its command had an effect is unknown. The response
+        to the request is sent when the aborted commands have no further effect. A request that would have to
+        wait beside `RESPONSES_WAITING_MAX` others is rejected, though it has aborted its tasks.
 
         Args:
             allegiance: The allegiance to the connection that received the request.
@@ -92,9 +98,47 @@
             front.abort_task(task)
         if response is ManagementResponse.FUNCTION_COMPLETE:
             self._report_reset(function, unpack_lun(pdu.lun))
+        unfinished = self._unfinished_commands(function, unpack_lun(pdu.lun), tasks_to_abort)
+        if not unfinished:
+            self._respond(function, response, allegiance, pdu)
+        elif len(self._waiting_responses) >= RESPONSES_WAITING_MAX:
+            self._respond(function, ManagementResponse.FUNCTION_REJECTED, allegiance, pdu)
+        else:
+            waiting = asyncio.create_task(
+                self._respond_after(unfinished, function, response, allegiance, pdu)
+            )
+            self._waiting_responses.add(waiting)
+            waiting.add_done_callback(self._waiting_responses.discard)
+
+    def _unfinished_commands(
+        self, function: int, lun: int | None, aborted_tasks: list[Task]
+    ) -> list[NodeActivity]:
+        """Returns the abandoned writes that must end before the response to a function."""
+        unfinished_commands = self._session.front.unfinished_commands
+        if function in TARGET_RESETS:
+            return unfinished_commands.all()
+        if function in LUN_FUNCTIONS:
+            return unfinished_commands.at_lun(lun)
+        activities = [task.activity for task in aborted_tasks if task.activity is not None]
+        return [activity for activity in activities if activity.ended is not None]
+
+    async def _respond_after(
+        self,
+        unfinished: list[NodeActivity],
+        function: int,
+        response: ManagementResponse,
+        allegiance: Allegiance,
+        pdu: Pdu,
+    ) -> None:
+        """Sends the response to a request after abandoned writes have ended."""
+        await self._session.front.unfinished_commands.wait_for(unfinished)
+        self._respond(function, response, allegiance, pdu)
+
+    def _respond(self, function: int, response: ManagementResponse, allegiance: Allegiance, pdu: Pdu) -> None:
+        """Sends the response to a request; TARGET COLD RESET then ends all sessions."""
         allegiance.send(Pdu(Op.TASK_MANAGEMENT_RESPONSE, byte2=response, tag=pdu.tag), status=True)
         if function == ManagementFunction.TARGET_COLD_RESET:
-            front.end_sessions()
+            self._session.front.end_sessions()
 
     def _result(
         self, function: int, allegiance: Allegiance, pdu: Pdu
