Leave the fleet to the successor at the handover

Cause: the process that hands over ended its use of the limits and stayed the fleet's member. It lent its part, as it had no demand, and the successor, which could not bind the address and so heard nobody, used the same part.

The predecessor now leaves the fleet in the step of the handover: it returns its loans and closes the socket. The successor binds it, and begins its restriction to its floors anew. If the successor goes, the predecessor joins again. In a fleet with a common policy the predecessor stays, for its lease, and lends nothing.

--- a/lemonridge/fleet/fleet_member.py
+++ b/lemonridge/fleet/fleet_member.py
@@ -173,6 +173,11 @@
         """Returns every quota as it was last sent to the scheduler."""
         return self.lending.last_sent_quotas()
 
+    def stop_lending(self) -> None:
+        """Returns all loans and grants none from now on."""
+        self.ledger.lends = False
+        self._sender.queue(self.lending.return_all())
+
     # Events
 
     def handle(self, now_us: int, events: Iterable[Event]) -> list[FleetAction]:
--- a/lemonridge/fleet/quota_ledger.py
+++ b/lemonridge/fleet/quota_ledger.py
@@ -149,6 +149,7 @@
         floors_until_us: Until this time the broker may use no more of its own parts than its floors.
         active: The budgets whose quota may change without a request.
         budgets_refused: How many budgets were not opened because of BUDGETS_MAX.
+        lends: Whether loans are granted; False while another process of this broker uses its parts.
 
     Args:
         own_id: This broker's member id.
@@ -175,6 +176,7 @@
         self.floors_until_us = now_us + LOAN_DURATION_US + clock_error_us
         self.active: set[BudgetKey] = set()
         self.budgets_refused = 0
+        self.lends = True
         self._others = tuple(others)
         self._last_request_id = first_request_id
         # By lender: its incarnation that recalled the loans of the previous ones.
@@ -183,6 +185,12 @@
 
     # Owned parts and quotas
 
+    def restrict_to_floors(self, now_us: int) -> None:
+        """Begins the restriction to the floors anew: a predecessor may have granted loans until now."""
+        self.floors_until_us = now_us + LOAN_DURATION_US + self.clock_error_us
+        self._recall_acks.clear()
+        self.active.update(self.budgets)
+
     def open_budget(
         self, key: BudgetKey, owned: int, hosts: int, used_here: bool, now_us: int
     ) -> Budget | None:
@@ -377,7 +385,7 @@
             hint = 1 + others[budget.hint_rotation % len(others)] if others else 0
         budget.drop_expired(now_us)
         refusal = LoanGrant(request.kind, request.key, request.request_id, 0, budget.used_here, hint)
-        if now_us < self.floors_until_us:
+        if not self.lends or now_us < self.floors_until_us:
             return refusal
         reserved = max(budget.floor, min(budget.owned, budget.demand) if budget.used_here else 0)
         parts = min(request.parts, budget.owned - reserved - budget.loaned_parts(now_us, borrower))
--- a/lemonridge/fleet/scheduler_bridge.py
+++ b/lemonridge/fleet/scheduler_bridge.py
@@ -141,6 +141,17 @@
         """Begins the graceful shutdown of this broker: returns its loans and announces that it drains."""
         self._handle(now_us, fleet_events.ShutdownBegan())
 
+    def stop_lending(self, now_us: int) -> None:
+        """Returns all loans and grants none, because another process of this broker uses its parts."""
+        self.member.stop_lending()
+        self._handle(now_us, fleet_events.TimerFired())
+
+    def resume_lending(self, now_us: int) -> None:
+        """Restricts this broker until all loans that its other process granted have ended; then it lends."""
+        self.member.ledger.lends = True
+        self.member.ledger.restrict_to_floors(now_us)
+        self._handle(now_us, fleet_events.TimerFired())
+
     # Events of the scheduler
 
     def on_request_arrived(self, event: RequestArrived, now_us: int) -> None:
--- a/lemonridge/net/peer_transport.py
+++ b/lemonridge/net/peer_transport.py
@@ -94,26 +94,34 @@
         settings: Settings,
     ) -> None:
         self.config, self._decision_host = config, decision_host
-        self._clock, self._counters = clock, counters
+        self._clock, self._counters, self._seed = clock, counters, seed
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._members = {(peer.host, peer.port): number for number, peer in enumerate(config.addresses)}
         self._timer: asyncio.TimerHandle | None = None
-        # The incarnation is the wall time, which continues across restarts: a later start of a member has a
-        # higher incarnation.
-        self._bridge = SchedulerBridge(
+        self._has_handed_over = False
+        self._bridge = self._new_bridge(settings)
+        self.coordinator: RolloutItemHandler | None = None
+        self._flush()
+        decision_host.observer = self
+
+    def _new_bridge(self, settings: Settings) -> SchedulerBridge:
+        """Returns the bridge of a member that starts now.
+
+        The incarnation is the wall time, which continues across restarts: a later start of a member has a
+        higher incarnation.
+        """
+        config = self.config
+        return SchedulerBridge(
             MemberList(config.names, config.own_index),
             time.time_ns() // 1_000_000,
-            seed,
-            clock.now_us(),
+            self._seed,
+            self._clock.now_us(),
             settings,
             config.datagram_bytes_per_s,
             config.clock_error_us,
             KeyedDatagramSigner(config.secret) if config.secret else None,
         )
-        self.coordinator: RolloutItemHandler | None = None
-        self._flush()
-        decision_host.observer = self
 
     # Datagrams
 
@@ -124,7 +132,7 @@
             OSError: The address cannot be bound for another reason.
         """
         listen = self.config.listen
-        while self._transport is None:
+        while self._transport is None and not self._has_handed_over:
             try:
                 await self._loop.create_datagram_endpoint(
                     lambda: self, local_addr=(listen.host, listen.port), family=socket.AF_INET
@@ -133,6 +141,8 @@
                 if error.errno != errno.EADDRINUSE:
                     raise
                 await asyncio.sleep(BIND_RETRY_S)
+        if self._transport is None:
+            return
         log.info(
             "fleet transport listening",
             extra={
@@ -143,8 +153,46 @@
             },
         )
 
+    def hand_over(self) -> None:
+        """Leaves the fleet to the successor process, which binds the address next and uses the quotas.
+
+        Where the fleet agrees on a policy, this member stays instead and only lends nothing: the decisions of
+        this process need a lease.
+        """
+        if self.config.rollout is None:
+            self._has_handed_over = True
+            self._leave()
+            return
+        self._decision_host.observer = None
+        self._bridge.stop_lending(self._clock.now_us())
+        self._flush()
+
+    async def rejoin(self) -> None:
+        """Takes part in the fleet again after the successor has gone, by a new incarnation of the member.
+
+        Raises:
+            OSError: The address cannot be bound for another reason than its use by another process.
+        """
+        self._decision_host.observer = self
+        if not self._has_handed_over:
+            self.resume_lending()
+            return
+        self._has_handed_over = False
+        self._bridge = self._new_bridge(self._bridge.settings)
+        self._bridge.on_endpoints_changed(self._decision_host.list_endpoints())
+        self._flush()
+        await self.start()
+
+    def resume_lending(self) -> None:
+        """Takes note that only this process uses the quotas, of which another one may have lent some."""
+        self._bridge.resume_lending(self._clock.now_us())
+        self._flush()
+
     def connection_made(self, transport: Any) -> None:
         """Stores the transport of the bound socket; called by asyncio."""
+        if self._has_handed_over:  # while the address was being bound
+            transport.close()
+            return
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
@@ -158,14 +206,19 @@
 
     def stop(self) -> None:
         """Returns borrowed quotas and closes the socket."""
+        self._leave()
+        self.update_counters()
+
+    def _leave(self) -> None:
+        """Announces that the member leaves, returns borrowed quotas and closes the socket."""
         if self._transport is not None:
             self._bridge.shut_down(self._clock.now_us())
             self._flush()
             self._transport.close()
+            self._transport = None
         if self._timer is not None:
             self._timer.cancel()
         self._decision_host.observer = None
-        self.update_counters()
 
     def _flush(self) -> None:
         """Delivers the bridge's pending events to the scheduler, and then sends its pending datagrams."""
@@ -192,6 +245,8 @@
         Args:
             items: The items, each with the number of the receiving member.
         """
+        if self._has_handed_over:
+            return
         self._bridge.send_rollout_items(items, self._clock.now_us())
         self._flush()
 
--- a/lemonridge/service/admin.py
+++ b/lemonridge/service/admin.py
@@ -130,6 +130,8 @@
         if state.drain_began_us is not None:
             self._lifecycle.drain(state.drain_began_us)
         self._decision_host.import_limits(state.limit_levels)
+        if self._service.peers is not None:
+            self._service.peers.resume_lending()
         log.info(
             "taken over",
             extra={
@@ -144,11 +146,14 @@
     def export_state(self) -> HandoverState:
         """Stops accepting connections and returns the state for the successor.
 
-        Both happen in one step: otherwise both processes would spend from the same limits.
+        Both happen in one step, with the end of its membership in the fleet: otherwise both processes would
+        spend from the same limits, or one would lend what the other one uses.
         """
         self._front.listener.stop_accepting()
         self._lifecycle.hand_over(self._clock.now_us())
         self._front.on_lifecycle_changed()
+        if self._service.peers is not None:
+            self._service.peers.hand_over()
         bans = self._registry.export_bans()
         log.info("handed over", extra={"open_requests": self._decision_host.open_requests})
         return HandoverState(
@@ -169,6 +174,8 @@
             return
         log.warning("successor gone, serving again")
         self._decision_host.import_limits({})
+        if self._service.peers is not None:
+            self._service.follow(self._service.peers.rejoin(), "peers")
         self._front.on_lifecycle_changed()
         self._listen_task = asyncio.create_task(self._resume_listening())
 
--- a/tests/fleet/test_quota_ledger.py
+++ b/tests/fleet/test_quota_ledger.py
@@ -152,6 +152,34 @@
         self.assertEqual(lender.on_request(0, 1, borrower.make_request(TWO_USE, 10), 10).parts, 0)
         self.assertEqual(borrower.quota(TWO_USE, borrower.floors_until_us).parts, TOTAL_PARTS // 2)
 
+    def test_successor_is_restricted_anew_until_the_loans_of_its_predecessor_have_ended(self) -> None:
+        """Guards against the use of a part that the predecessor lent just before the handover."""
+        borrower, successor = self.make_pair()
+        handed_over_us = successor.floors_until_us + 10
+        self.assertEqual(successor.quota(TWO_USE, handed_over_us).parts, TOTAL_PARTS // 2)
+        successor.on_recall_ack(0, LoanRecallAck(successor.incarnation), 20)
+        successor.restrict_to_floors(handed_over_us)
+        self.assertIn(0, successor.unacknowledged_peers())
+        last_loan_ends_us = handed_over_us + LOAN_DURATION_US + successor.clock_error_us
+        for now_us, parts in (
+            (handed_over_us, TOTAL_PARTS // 2 // FLOOR_DIVISOR),
+            (last_loan_ends_us - 1, TOTAL_PARTS // 2 // FLOOR_DIVISOR),
+            (last_loan_ends_us, TOTAL_PARTS // 2),
+        ):
+            self.assertEqual(successor.quota(TWO_USE, now_us).parts, parts, now_us)
+        request = borrower.make_request(TWO_USE, handed_over_us)
+        self.assertEqual(successor.on_request(0, 1, request, handed_over_us).parts, 0)
+
+    def test_process_that_has_handed_over_lends_nothing(self) -> None:
+        borrower, predecessor = self.make_pair()
+        now_us = predecessor.floors_until_us
+        borrower.budgets[TWO_USE].demand = TOTAL_PARTS
+        request = borrower.make_request(TWO_USE, now_us)
+        predecessor.lends = False
+        self.assertEqual(predecessor.on_request(0, 1, request, now_us).parts, 0)
+        predecessor.lends = True
+        self.assertGreater(predecessor.on_request(0, 1, request, now_us).parts, 0)
+
     def test_lender_keeps_its_own_demand_and_its_floor(self) -> None:
         borrower, lender = self.make_pair()
         now = borrower.floors_until_us
