Give each iSCSI connection a share of the event loop

Cause: a connection processed PDUs for as long as its input had whole ones, as neither reading from the buffer nor drain() waits; the HTTP front has ParsingQueue for this, the iSCSI front had nothing.

LoopShare puts each connection into such a queue: turns of 250 microseconds, first for the connections within their share. A command for a node is charged 500 microseconds more.

--- a/lemonridge/iscsi/connection.py
+++ b/lemonridge/iscsi/connection.py
@@ -13,6 +13,7 @@
 from lemonridge.iscsi.config import IscsiConfig
 from lemonridge.iscsi.keys import NegotiatedParameters
 from lemonridge.iscsi.login import AUTHENTICATION_FAILURE, FailedLoginLimiter, LoginPolicy, TargetLogin
+from lemonridge.iscsi.loop_share import COMMAND_US, PDU_US, LoopShare
 from lemonridge.iscsi.numbers import StatusLog
 from lemonridge.iscsi.pdu import (
     RESERVED_TAG,
@@ -26,6 +27,7 @@
 )
 from lemonridge.iscsi.text_exchange import TextExchange
 from lemonridge.net.client_output import ClientOutput
+from lemonridge.net.parsing_queue import ParsingQueue
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +55,10 @@
         """Returns the current ExpCmdSN and MaxCmdSN."""
         ...
 
+    def is_executing(self, tag: int) -> bool:
+        """Returns whether a node executes, or is to execute, the command with a task tag."""
+        ...
+
 
 class ConnectionFront(Protocol):
     """The front of a connection; see `portal.IscsiFront`."""
@@ -63,6 +69,7 @@
     counters: Counters
     login_attempts: FailedLoginLimiter
     login_rules: LoginPolicy
+    parsing_queue: ParsingQueue
 
     def tsih_for(self, login: TargetLogin) -> int:
         """Returns the TSIH for the last login response."""
@@ -118,6 +125,7 @@
         self.last_received_s = front.loop.time()
         self.closed = False
         self._output = ClientOutput(writer.transport)
+        self._loop_share = LoopShare(front.parsing_queue)
         self._output_pending_until_s = 0.0  # when a slow initiator had, or will have, read what was pending
         self._ping_timer: asyncio.TimerHandle | None = None
         self._read_check_timer: asyncio.TimerHandle | None = None
@@ -152,7 +160,8 @@
         self._check_liveness()
         try:
             while not self.closed:
-                session.receive(self, await self._next_pdu(session))
+                pdu = await self._next_pdu(session)
+                await self._loop_share.spend(self._process(session, pdu))
                 await self.writer.drain()
         except HeaderDigestError:
             self.front.counters["digests.header"] += 1
@@ -163,6 +172,18 @@
             self.end_for_protocol_error(error)
         await self.writer.drain()
 
+    def _process(self, session: ConnectionOwner, pdu: Pdu) -> float:
+        """Passes a PDU to the session; returns the time that it costs the event loop, in microseconds.
+
+        Raises:
+            PduError: The PDU breaks the protocol.
+        """
+        began_s = self.front.loop.time()
+        session.receive(self, pdu)
+        used_us = PDU_US + 1e6 * (self.front.loop.time() - began_s)
+        is_executed = pdu.opcode == Op.SCSI_COMMAND and session.is_executing(pdu.tag)
+        return used_us + COMMAND_US if is_executed else used_us
+
     async def _next_pdu(self, session: ConnectionOwner) -> Pdu:
         """Returns the next PDU whose digests are correct.
 
@@ -338,6 +359,7 @@
         if self.closed:
             return
         self.closed = True
+        self._loop_share.end()
         if self._ping_timer is not None:
             self._ping_timer.cancel()
         if self._read_check_timer is not None:
--- a/lemonridge/iscsi/portal.py
+++ b/lemonridge/iscsi/portal.py
@@ -25,6 +25,7 @@
 from lemonridge.iscsi.task import Task
 from lemonridge.iscsi.unfinished_commands import UnfinishedCommands
 from lemonridge.net.listener import Listener, listening_socket
+from lemonridge.net.parsing_queue import ParsingQueue
 from lemonridge.scheduling.events import EndpointState
 
 log = logging.getLogger(__name__)
@@ -57,6 +58,7 @@
         sessions: The sessions, by TSIH.
         buffer_budget: Bounds the data of the commands of all sessions, by their transfer lengths, from their
             receipt until nothing needs the data any more.
+        parsing_queue: Shares the event loop among the connections.
         unfinished_commands: Writes that have ended for their initiators while a node may execute them.
         stopping: Whether the front no longer accepts logins.
         login_attempts: Bounds the failed logins of each IP address.
@@ -81,6 +83,7 @@
         self.sessions: dict[int, Session] = {}
         self.buffer_budget = MemoryBudget(config.buffer_bytes)
         self.unfinished_commands = UnfinishedCommands()
+        self.parsing_queue = ParsingQueue(counters)
         self.stopping = False
         self.login_attempts = FailedLoginLimiter(config.login_failures)
         self.login_rules = LoginPolicy(
--- a/lemonridge/iscsi/session.py
+++ b/lemonridge/iscsi/session.py
@@ -272,6 +272,15 @@
         )
         return self.window.exp_cmd_sn, self.window.advertise_max_cmd_sn(occupied)
 
+    def is_executing(self, tag: int) -> bool:
+        """Returns whether a node executes, or is to execute, the command with a task tag.
+
+        Args:
+            tag: The task tag.
+        """
+        task = self.tasks.get(tag)
+        return task is not None and task.execution is not None and not task.execution.done()
+
     # Receiving PDUs
 
     def receive(self, connection: InitiatorConnection, pdu: Pdu) -> None:
