Keep the order of a key over a replacement of the process

Cause: each process kept the order of its own requests, and the handover told nothing of keys.

While both run, the predecessor's KeyOrder keeps the order of both. The successor asks for a turn for each request of a key and ends it with the request and the quarantine that it leaves. New messages of the handover, which both versions must know ("turns" in "take" and "given"); the recorded request line of a successor has that key now, the lines of earlier versions are decoded as before. A wait for a turn ends with the request's deadline or with the other process, whose open attempts leave a quarantine.

--- a/lemonridge/core/decision_host.py
+++ b/lemonridge/core/decision_host.py
@@ -21,12 +21,16 @@
 from lemonridge.scheduling.actions import (
     Action,
     Cancel,
+    EndTurn,
     Fail,
+    GrantTurn,
     Reject,
+    RequestTurn,
     Send,
     SetTimer,
     SlowStartBegan,
     Subscribe,
+    Turn,
 )
 from lemonridge.scheduling.events import (
     AttemptEnded,
@@ -89,6 +93,18 @@
         """
 
 
+class TurnExchange(Protocol):
+    """Exchanges the turns of ordering keys with the other processes of the broker."""
+
+    def carry_out(self, action: Turn) -> None:
+        """Sends a scheduler's decision about a turn to the process that it concerns."""
+        ...
+
+    def on_scheduler_restarted(self) -> None:
+        """Handles a new scheduler that replaces a failed one and knows of no turn."""
+        ...
+
+
 class DecisionHost:
     """Owns the scheduler and passes it all events of one event loop iteration as one batch.
 
@@ -102,6 +118,7 @@
         clock: The broker's clock.
         list_endpoints: Returns the endpoint list for a scheduler that replaces a failed one.
         observer: Is notified of events and actions; None if there is no observer.
+        turn_exchange: Exchanges the turns of ordering keys with the other processes; None without any.
         lease_guard: Determines the settings to use; None if no lease on a policy is needed.
         stall_detector: Pauses decisions after a stall of the process, once it has been started.
     """
@@ -122,6 +139,7 @@
         self._volumes_max: int | None = None
         self._processes = 1  # current number of processes of the broker
         self.observer: DecisionObserver | None = None
+        self.turn_exchange: TurnExchange | None = None
         self.lease_guard: LeaseGuard | None = None
         self.stall_detector = StallDetector(self._loop, counters)
 
@@ -283,6 +301,9 @@
                     self.observer.on_slow_start_began(action)
             case Subscribe():
                 pass  # the endpoint list is watched permanently
+            case RequestTurn() | EndTurn() | GrantTurn():
+                if self.turn_exchange is not None:
+                    self.turn_exchange.carry_out(action)
 
     def _send(self, action: Send) -> None:
         """Passes the decision to send an attempt to the request's mailbox, if the request is still open."""
@@ -339,4 +360,6 @@
         self._apply_maxima()
         if self.observer is not None:
             self.observer.on_scheduler_restarted()
+        if self.turn_exchange is not None:
+            self.turn_exchange.on_scheduler_restarted()
         self.deliver(EndpointsChanged(EndpointListUpdate.CACHED, self.list_endpoints()))
--- a/lemonridge/core/open_ids.py
+++ b/lemonridge/core/open_ids.py
@@ -63,6 +63,10 @@
         while len(ids) > REMOTE_IDS_MAX:
             ids.pop()
 
+    def has_remote(self, process: object) -> bool:
+        """Returns whether another process has ids open."""
+        return bool(self._remote.get(process))
+
     def forget_remote(self, process: object) -> None:
         """Drops the ids of a process that has exited."""
         self._remote.pop(process, None)
--- a/lemonridge/net/process_handover.py
+++ b/lemonridge/net/process_handover.py
@@ -18,6 +18,7 @@
 from lemonridge.core.clock import Clock
 from lemonridge.core.counters import Counters
 from lemonridge.core.open_ids import RETAINED_ID_S, OpenIds
+from lemonridge.net.key_turns import KeyTurnExchange
 from lemonridge.operate.admin_calls import AdminReply, AdminRequest
 from lemonridge.operate.errors import BadMessageError
 from lemonridge.operate.handover import (
@@ -29,6 +30,10 @@
     HandoverRefused,
     HandoverRequested,
     HandoverState,
+    KeyTurnEnded,
+    KeyTurnGranted,
+    KeyTurnRequested,
+    KeyTurnsReset,
     Message,
     OpenIdsChanged,
 )
@@ -71,6 +76,7 @@
         host: The broker of this process.
         clock: The broker's clock.
         open_ids: The request ids that are open in both processes.
+        key_turns: The exchange of turns of ordering keys.
 
     Attributes:
         exchanges_open_ids: Whether both sides support `OpenIdsChanged`.
@@ -83,9 +89,10 @@
         host: HandoverHost,
         clock: Clock,
         open_ids: OpenIds,
+        key_turns: KeyTurnExchange,
     ) -> None:
         self._reader, self._writer, self._host, self._clock = reader, writer, host, clock
-        self._open_ids = open_ids
+        self._open_ids, self._key_turns = open_ids, key_turns
         self._pending_calls: dict[int, asyncio.Future[None]] = {}  # unacknowledged forwarded calls by number
         self._calls_forwarded = 0
         self.exchanges_open_ids = False
@@ -130,6 +137,8 @@
                     waiter.set_result(None)
             case OpenIdsChanged():
                 self._open_ids.update_remote(self, message.opened, message.closed)
+            case KeyTurnRequested() | KeyTurnGranted() | KeyTurnEnded() | KeyTurnsReset():
+                self._key_turns.handle(self, message)
 
     async def forward(self, request: AdminRequest) -> bool:
         """Forwards an operator's call to the other process.
@@ -173,14 +182,22 @@
         clock: The broker's clock.
         counters: The broker's counters.
         open_ids: The request ids that are open in both processes.
+        key_turns: The exchange of turns of ordering keys.
     """
 
     def __init__(
-        self, folder: str, name: str, host: HandoverHost, clock: Clock, counters: Counters, open_ids: OpenIds
+        self,
+        folder: str,
+        name: str,
+        host: HandoverHost,
+        clock: Clock,
+        counters: Counters,
+        open_ids: OpenIds,
+        key_turns: KeyTurnExchange,
     ) -> None:
         self._path = Path(folder) / f"{name.replace('/', '_')}.handover"
         self._host, self._clock, self._counters = host, clock, counters
-        self._open_ids = open_ids
+        self._open_ids, self._key_turns = open_ids, key_turns
         self._id_changes: dict[str, bool] = {}  # ids opened (True) or closed (False) in this loop iteration
         self._connections: set[HandoverConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -209,11 +226,13 @@
         """Connects and requests the state, and repeats both while the request is refused."""
         while True:
             connection = await self._connect()
-            connection.write(HandoverRequested(supports_open_ids=True))
+            connection.write(HandoverRequested(supports_open_ids=True, supports_key_turns=True))
             message = await connection.read()
             if isinstance(message, HandoverGranted):
                 connection.exchanges_open_ids = message.state.open_ids is not None
                 self._open_ids.update_remote(connection, message.state.open_ids or (), ())
+                if message.state.supports_key_turns:
+                    self._key_turns.on_predecessor(connection)
                 self._serve_in_background(connection)
                 return message.state
             connection.close()
@@ -305,7 +324,12 @@
         except BaseException:
             client_socket.close()
             raise
-        return HandoverConnection(reader, writer, self._host, self._clock, self._open_ids)
+        return self._new_connection(reader, writer)
+
+    def _new_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> HandoverConnection:
+        return HandoverConnection(reader, writer, self._host, self._clock, self._open_ids, self._key_turns)
 
     def _serve_in_background(self, connection: HandoverConnection) -> None:
         """Handles the predecessor's messages while it runs."""
@@ -316,14 +340,13 @@
 
         def on_end(task: asyncio.Task[None]) -> None:
             self._tasks.discard(task)
-            self._connections.discard(connection)
-            self._on_connections_changed()
+            self._on_connection_ended(connection)
 
         task.add_done_callback(on_end)
 
     async def _on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Hands over to a process that has connected, and serves its messages until it ends."""
-        connection = HandoverConnection(reader, writer, self._host, self._clock, self._open_ids)
+        connection = self._new_connection(reader, writer)
         request = await self._read_request(connection)
         if request is None:
             return
@@ -331,15 +354,25 @@
         self._counters["handover.given"] += 1
         connection.exchanges_open_ids = request.supports_open_ids
         open_ids = self._open_ids.own() if request.supports_open_ids else None
-        connection.write(HandoverGranted(replace(self._host.export_state(), open_ids=open_ids)))
+        state = replace(
+            self._host.export_state(), open_ids=open_ids, supports_key_turns=request.supports_key_turns
+        )
+        connection.write(HandoverGranted(state))
+        if request.supports_key_turns:
+            self._key_turns.on_successor(connection)
         self._connections.add(connection)
         self._on_connections_changed()
         await connection.serve()
-        self._connections.discard(connection)
-        self._on_connections_changed()
+        self._on_connection_ended(connection)
         self._has_handed_over = False
         self._host.undo_handover()
 
+    def _on_connection_ended(self, connection: HandoverConnection) -> None:
+        """Handles the end of the other process."""
+        self._connections.discard(connection)
+        self._key_turns.on_connection_ended(connection, self._open_ids.has_remote(connection))
+        self._on_connections_changed()
+
     async def _read_request(self, connection: HandoverConnection) -> HandoverRequested | None:
         """Returns the successor's request; None if it was refused."""
         try:
--- a/lemonridge/operate/handover.py
+++ b/lemonridge/operate/handover.py
@@ -4,7 +4,8 @@
 replies with `HandoverRefused`, or it stops accepting connections and, in the same step, replies with its
 state in `HandoverGranted`. From then on each process forwards the operators' calls that it receives
 (`CallForwarded`), and the other acknowledges a call once it is in force there (`CallAcknowledged`). If both
-support it, each process also reports the request ids that it opens and closes (`OpenIdsChanged`). This module
+support it, each process also reports the request ids that it opens and closes (`OpenIdsChanged`), and the
+predecessor keeps the order of requests with the same ordering key for both (`TurnMessage`). This module
 performs no I/O.
 """
 
@@ -61,6 +62,7 @@
         start_times: The start times of endpoints, by endpoint.
         open_ids: Ids of the sender's open requests; None from a version that does not send them.
         clock_base_us: `Clock.base_us` of the sender; 0 from a version that does not send it.
+        supports_key_turns: Whether the sender keeps the order of requests with the same ordering key.
     """
 
     banned: Mapping[str, int] = field(default_factory=dict)
@@ -71,6 +73,7 @@
     start_times: Mapping[str, StartTime] = field(default_factory=dict)
     open_ids: tuple[str, ...] | None = None
     clock_base_us: int = 0
+    supports_key_turns: bool = False
 
     def rebased(self, base_us: int) -> HandoverState:
         """Returns a copy with its times on another process's clock.
@@ -108,9 +111,11 @@
 
     Attributes:
         supports_open_ids: Whether the successor supports `OpenIdsChanged`.
+        supports_key_turns: Whether the successor asks for turns of ordering keys.
     """
 
     supports_open_ids: bool = False
+    supports_key_turns: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +163,45 @@
     closed: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class KeyTurnRequested:
+    """Asks the predecessor for the turn of a request with an ordering key.
+
+    Attributes:
+        key: The ordering key.
+        turn: The number of the turn, chosen by the successor.
+    """
+
+    key: int
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTurnGranted:
+    """Grants the successor a turn."""
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTurnEnded:
+    """Reports that a turn of the successor has ended, or is not needed any more."""
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTurnsReset:
+    """Reports that the successor has lost its turns, as its scheduler was replaced; it numbers them anew."""
+
+
+TurnMessage = KeyTurnRequested | KeyTurnGranted | KeyTurnEnded | KeyTurnsReset
 Message = (
-    HandoverRequested | HandoverGranted | HandoverRefused | CallForwarded | CallAcknowledged | OpenIdsChanged
+    HandoverRequested
+    | HandoverGranted
+    | HandoverRefused
+    | CallForwarded
+    | CallAcknowledged
+    | OpenIdsChanged
+    | TurnMessage
 )
--- a/lemonridge/operate/handover_format.py
+++ b/lemonridge/operate/handover_format.py
@@ -22,9 +22,14 @@
     HandoverRefused,
     HandoverRequested,
     HandoverState,
+    KeyTurnEnded,
+    KeyTurnGranted,
+    KeyTurnRequested,
+    KeyTurnsReset,
     Message,
     OpenIdsChanged,
     StartTime,
+    TurnMessage,
 )
 from lemonridge.operate.maintenance import BANS_MAX, ReturnedToService
 from lemonridge.scheduling.events import Endpoint, EndpointState, LimitLevel
@@ -35,8 +40,8 @@
 IDS_MAX = 65536  # request ids in one message
 REASON_MAX = 200  # characters of a refusal's reason
 TEXT_MAX = 1000  # characters of an id or an address
-INTEGER_END = 1 << 62  # exclusive upper bound of integers other than volume numbers
-VOLUME_END = 1 << 64  # exclusive upper bound of volume numbers
+INTEGER_END = 1 << 62  # exclusive upper bound of integers other than volume numbers and ordering keys
+VOLUME_END = 1 << 64  # exclusive upper bound of volume numbers and ordering keys
 UNITS_END = 1e9  # exclusive upper bound of units
 
 STATE_BY_WIRE_NAME = {
@@ -52,6 +57,8 @@
     match message:
         case HandoverRequested():
             fields = _fields("take", ids=message.supports_open_ids)
+            if message.supports_key_turns:
+                fields["turns"] = True
         case HandoverGranted():
             fields = _fields("given", **_state_fields(message.state))
         case HandoverRefused():
@@ -65,6 +72,8 @@
             fields = _fields("done", number=message.number)
         case OpenIdsChanged():
             fields = _fields("ids", opened=message.opened, ended=message.closed)
+        case KeyTurnRequested() | KeyTurnGranted() | KeyTurnEnded() | KeyTurnsReset():
+            fields = _turn_fields(message)
     return orjson.dumps(fields) + b"\n"
 
 
@@ -72,6 +81,18 @@
     return {"v": VERSION, "say": kind, **fields}
 
 
+def _turn_fields(message: TurnMessage) -> dict[str, Any]:
+    match message:
+        case KeyTurnRequested():
+            return _fields("turn", key=message.key, turn=message.turn)
+        case KeyTurnGranted():
+            return _fields("turn given", turn=message.turn)
+        case KeyTurnEnded():
+            return _fields("turn ended", turn=message.turn)
+        case KeyTurnsReset():
+            return _fields("turns lost")
+
+
 def _state_fields(state: HandoverState) -> dict[str, Any]:
     fields: dict[str, Any] = {
         "out": dict(state.banned),
@@ -104,6 +125,8 @@
     }
     if state.open_ids is not None:
         fields["ids"] = state.open_ids
+    if state.supports_key_turns:
+        fields["turns"] = True
     return fields
 
 
@@ -129,7 +152,7 @@
 
 
 def _decode_requested(fields: Mapping[str, Any]) -> Message:
-    return HandoverRequested(fields.get("ids") is True)
+    return HandoverRequested(fields.get("ids") is True, fields.get("turns") is True)
 
 
 def _decode_refused(fields: Mapping[str, Any]) -> Message:
@@ -149,6 +172,22 @@
     return OpenIdsChanged(_ids(fields["opened"]), _ids(fields["ended"]))
 
 
+def _decode_turn_requested(fields: Mapping[str, Any]) -> Message:
+    return KeyTurnRequested(_integer(fields["key"], VOLUME_END), _integer(fields["turn"]))
+
+
+def _decode_turn_granted(fields: Mapping[str, Any]) -> Message:
+    return KeyTurnGranted(_integer(fields["turn"]))
+
+
+def _decode_turn_ended(fields: Mapping[str, Any]) -> Message:
+    return KeyTurnEnded(_integer(fields["turn"]))
+
+
+def _decode_turns_reset(_: Mapping[str, Any]) -> Message:
+    return KeyTurnsReset()
+
+
 def _decode_granted(fields: Mapping[str, Any]) -> Message:
     if len(fields["out"]) > BANS_MAX or len(fields["back"]) > BANS_MAX:
         raise BadMessageError("it names too many nodes")
@@ -186,6 +225,7 @@
             },
             open_ids=None if fields.get("ids") is None else _ids(fields["ids"]),
             clock_base_us=_integer(fields.get("base_us", 0)),
+            supports_key_turns=fields.get("turns") is True,
         )
     )
 
@@ -206,6 +246,10 @@
     "called": _decode_forwarded,
     "done": _decode_acknowledged,
     "ids": _decode_ids,
+    "turn": _decode_turn_requested,
+    "turn given": _decode_turn_granted,
+    "turn ended": _decode_turn_ended,
+    "turns lost": _decode_turns_reset,
 }
 
 
--- a/lemonridge/scheduling/actions.py
+++ b/lemonridge/scheduling/actions.py
@@ -125,4 +125,40 @@
     until_us: int
 
 
-Action = Send | Cancel | Reject | Fail | SetTimer | Subscribe | SlowStartBegan
+@dataclass(frozen=True, slots=True)
+class RequestTurn:
+    """Ask the predecessor process for the turn of a request with an ordering key.
+
+    Attributes:
+        key: The ordering key.
+        turn: The number of the turn, chosen by this process.
+    """
+
+    key: int
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndTurn:
+    """Tell the predecessor process that a turn has ended, or is not needed any more.
+
+    Attributes:
+        turn: The number of the turn, chosen by this process.
+    """
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class GrantTurn:
+    """Grant the successor process a turn.
+
+    Attributes:
+        turn: The number of the turn, chosen by the successor.
+    """
+
+    turn: int
+
+
+Turn = RequestTurn | EndTurn | GrantTurn
+Action = Send | Cancel | Reject | Fail | SetTimer | Subscribe | SlowStartBegan | Turn
--- a/lemonridge/scheduling/events.py
+++ b/lemonridge/scheduling/events.py
@@ -289,8 +289,73 @@
     at_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class PredecessorOrdersKeys:
+    """The predecessor process keeps the order of requests with the same ordering key from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class PredecessorGone:
+    """The predecessor process has ended.
+
+    Attributes:
+        may_still_run: Whether attempts of it may still run at endpoints.
+    """
+
+    may_still_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TurnGranted:
+    """The predecessor process has granted a turn.
+
+    Attributes:
+        turn: The number of the turn, chosen by this process.
+    """
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessorTurnRequested:
+    """The successor process asks for the turn of a request with an ordering key.
+
+    Attributes:
+        key: The ordering key.
+        turn: The number of the turn, chosen by the successor.
+    """
+
+    key: int
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessorTurnEnded:
+    """A turn of the successor process has ended, or is not needed any more.
+
+    Attributes:
+        turn: The number of the turn, chosen by the successor.
+    """
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessorGone:
+    """The successor process has ended; what it has sent may still run at endpoints."""
+
+
+TurnEvent = (
+    PredecessorOrdersKeys
+    | PredecessorGone
+    | TurnGranted
+    | SuccessorTurnRequested
+    | SuccessorTurnEnded
+    | SuccessorGone
+)
 Event = (
-    RequestArrived
+    TurnEvent
+    | RequestArrived
     | ResponseStarted
     | AttemptEnded
     | DataMigrated
--- a/lemonridge/scheduling/scheduler.py
+++ b/lemonridge/scheduling/scheduler.py
@@ -23,12 +23,18 @@
     LimitLevel,
     PeerHealthReported,
     PeerUsageReported,
+    PredecessorGone,
+    PredecessorOrdersKeys,
     QuotaChanged,
     RequestArrived,
     ResponseStarted,
     SettingsChanged,
     SharedBudget,
+    SuccessorGone,
+    SuccessorTurnEnded,
+    SuccessorTurnRequested,
     TimerFired,
+    TurnGranted,
 )
 from lemonridge.scheduling.list_polling import ListPolling
 from lemonridge.scheduling.request_lifecycle import OpenAttempt, RequestLifecycle
@@ -92,6 +98,12 @@
             QuotaChanged: self._handle_quota_changed,
             PeerUsageReported: self._handle_peer_usage_reported,
             PeerHealthReported: self.health.apply_peer_report,
+            PredecessorOrdersKeys: self._handle_predecessor_orders_keys,
+            PredecessorGone: self._handle_predecessor_gone,
+            TurnGranted: self._handle_turn_granted,
+            SuccessorTurnRequested: self._handle_successor_turn_requested,
+            SuccessorTurnEnded: self._handle_successor_turn_ended,
+            SuccessorGone: self._handle_successor_gone,
         }
         self._timer_handlers: dict[type[Timer], Callable[..., None]] = {
             PollEndpointList: self._on_poll_endpoint_list,
@@ -247,6 +259,33 @@
             volume.peer_usage_at_us = self.context.now_us
             volume.debit(event.units, self.context.settings.largest_request_units)
 
+    # Order of keys while the process is replaced
+
+    def _handle_predecessor_orders_keys(self, event: PredecessorOrdersKeys) -> None:
+        self.lifecycle.key_order.ask_predecessor()
+
+    def _handle_predecessor_gone(self, event: PredecessorGone) -> None:
+        for request in self.lifecycle.key_order.stop_asking(event.may_still_run):
+            self.queues.enqueue(request)
+
+    def _handle_turn_granted(self, event: TurnGranted) -> None:
+        self._enqueue_ready(self.lifecycle.key_order.grant(event.turn))
+
+    def _handle_successor_turn_requested(self, event: SuccessorTurnRequested) -> None:
+        self.lifecycle.key_order.add_successor_turn(event.key, event.turn)
+
+    def _handle_successor_turn_ended(self, event: SuccessorTurnEnded) -> None:
+        self._enqueue_ready(self.lifecycle.key_order.end_successor_turn(event.turn))
+
+    def _handle_successor_gone(self, event: SuccessorGone) -> None:
+        for request in self.lifecycle.key_order.drop_successor_turns():
+            self.queues.enqueue(request)
+
+    def _enqueue_ready(self, request: Request | None) -> None:
+        """Queues the next request of an ordering key, if there is one."""
+        if request is not None:
+            self.queues.enqueue(request)
+
     def _configure(self, settings: Settings, indices_unchanged: bool = False) -> None:
         """Applies new settings.
 
@@ -282,9 +321,7 @@
         self.lifecycle.handle_overdue_attempt(timer.request_id, timer.attempt)
 
     def _on_key_quarantine_ended(self, timer: KeyQuarantineEnded) -> None:
-        request = self.lifecycle.key_order.end_quarantine(timer.key)
-        if request is not None:
-            self.queues.enqueue(request)
+        self._enqueue_ready(self.lifecycle.key_order.end_quarantine(timer.key))
 
     def _on_queue_resume(self, timer: QueueResume) -> None:
         if timer.queue.suspended:
--- a/lemonridge/service/platform.py
+++ b/lemonridge/service/platform.py
@@ -18,6 +18,7 @@
 from lemonridge.net.errors import MalformedListError
 from lemonridge.net.http_endpoints import HttpEndpoints
 from lemonridge.net.http_front import HttpFront
+from lemonridge.net.key_turns import KeyTurnExchange
 from lemonridge.net.process_handover import ProcessHandover
 from lemonridge.operate.lifecycle import Lifecycle
 from lemonridge.scheduling.events import EndpointListUpdate
@@ -185,8 +186,16 @@
         if self._config.inherited_fd is None or not directory:
             return
         service = self.service
+        key_turns = KeyTurnExchange(service.decision_host.deliver)
+        service.decision_host.turn_exchange = key_turns
         handover = ProcessHandover(
-            directory, self._config.name, self._admin, service.clock, service.counters, self._broker.open_ids
+            directory,
+            self._config.name,
+            self._admin,
+            service.clock,
+            service.counters,
+            self._broker.open_ids,
+            key_turns,
         )
         await self._admin.take_over(handover)
         service.on_stop.append(self._admin.stop)
--- a/tests/formats/test_format_handover.py
+++ b/tests/formats/test_format_handover.py
@@ -15,6 +15,7 @@
 from lemonridge.core.clock import Clock
 from lemonridge.core.counters import Counters
 from lemonridge.core.open_ids import OpenIds
+from lemonridge.net.key_turns import KeyTurnExchange
 from lemonridge.net.process_handover import ProcessHandover
 from lemonridge.operate import handover, handover_format
 from lemonridge.operate.admin_calls import AdminCall, AdminReply, AdminRequest
@@ -50,6 +51,17 @@
 MESSAGES_AND_LINES = {
     "take": (handover.HandoverRequested(supports_open_ids=True), b'{"v":1,"say":"take","ids":true}\n'),
     "take, no ids": (handover.HandoverRequested(), b'{"v":1,"say":"take","ids":false}\n'),
+    "take, turns": (
+        handover.HandoverRequested(supports_open_ids=True, supports_key_turns=True),
+        b'{"v":1,"say":"take","ids":true,"turns":true}\n',
+    ),
+    "turn": (
+        handover.KeyTurnRequested(key=2**64 - 1, turn=3),
+        b'{"v":1,"say":"turn","key":18446744073709551615,"turn":3}\n',
+    ),
+    "turn given": (handover.KeyTurnGranted(turn=3), b'{"v":1,"say":"turn given","turn":3}\n'),
+    "turn ended": (handover.KeyTurnEnded(turn=3), b'{"v":1,"say":"turn ended","turn":3}\n'),
+    "turns lost": (handover.KeyTurnsReset(), b'{"v":1,"say":"turns lost"}\n'),
     "given": (
         handover.HandoverGranted(state=STATE),
         b'{"v":1,"say":"given","out":{"s-1":5,"s-9":6},"back":{"s-2":[1,4]},"drained_us":7,'
@@ -174,8 +186,10 @@
     """
     open_ids, counters = OpenIds(), Counters()
     open_ids.open("request-1")
-    clock = Clock(asyncio.get_running_loop())
-    process_handover = ProcessHandover(str(folder), "n/1", HandoverHostStandin(), clock, counters, open_ids)
+    clock, turns = Clock(asyncio.get_running_loop()), KeyTurnExchange(lambda _: None)
+    process_handover = ProcessHandover(
+        str(folder), "n/1", HandoverHostStandin(), clock, counters, open_ids, turns
+    )
     await process_handover.listen()
     answers = []
     path = str(folder / "n_1.handover")  # both versions must use the same socket name
@@ -191,6 +205,7 @@
         first, first_writer = await asyncio.open_unix_connection(path)
         first_writer.write(b'{"v":1,"say":"take","ids":true}\n')
         answers.append(await first.readline())
+        first_writer.write(b'{"v":1,"say":"turn","key":5,"turn":1}\n')  # not offered, so it is ignored
         second, second_writer = await asyncio.open_unix_connection(path)
         second_writer.write(b'{"v":1,"say":"take","ids":true}\n')
         answers.append(await second.readline())
@@ -237,8 +252,10 @@
         writer.write(MESSAGES_AND_LINES["given"][1])
 
     server = await asyncio.start_unix_server(reply, str(folder / "n1.handover"))
-    clock = Clock(asyncio.get_running_loop())
-    process_handover = ProcessHandover(str(folder), "n1", HandoverHostStandin(), clock, Counters(), OpenIds())
+    clock, turns = Clock(asyncio.get_running_loop()), KeyTurnExchange(lambda _: None)
+    process_handover = ProcessHandover(
+        str(folder), "n1", HandoverHostStandin(), clock, Counters(), OpenIds(), turns
+    )
     state = await process_handover.take_over()
     process_handover.stop()
     server.close()
@@ -248,5 +265,5 @@
 def test_successor_sends_recorded_request_and_decodes_state(tmp_path: Path) -> None:
     request_line, state = asyncio.run(asyncio.wait_for(request_state(tmp_path), 10))
 
-    assert request_line == b'{"v":1,"say":"take","ids":true}\n'
+    assert request_line == b'{"v":1,"say":"take","ids":true,"turns":true}\n'
     assert state == STATE
--- a/tests/operate/test_handover_messages.py
+++ b/tests/operate/test_handover_messages.py
@@ -19,6 +19,10 @@
     HandoverRefused,
     HandoverRequested,
     HandoverState,
+    KeyTurnEnded,
+    KeyTurnGranted,
+    KeyTurnRequested,
+    KeyTurnsReset,
     OpenIdsChanged,
     StartTime,
 )
@@ -43,6 +47,12 @@
 MESSAGES = (
     HandoverRequested(),
     HandoverRequested(supports_open_ids=True),
+    HandoverRequested(supports_open_ids=True, supports_key_turns=True),
+    HandoverGranted(HandoverState(supports_key_turns=True)),
+    KeyTurnRequested(2**64 - 1, 1),
+    KeyTurnGranted(1),
+    KeyTurnEnded(1),
+    KeyTurnsReset(),
     OpenIdsChanged(("a",), ("b", "c")),
     HandoverRefused("so"),
     HandoverGranted(STATE),
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -30,12 +30,7 @@
     rig.advance(70_000_000, step=100_000)
     scheduler = rig.scheduler
 
-    assert not (
-        scheduler.requests
-        or scheduler.open_attempts
-        or scheduler.lifecycle.key_order._requests_by_key
-        or scheduler.lifecycle.key_order._quarantined_until_us
-    )
+    assert not (scheduler.requests or scheduler.open_attempts or not scheduler.lifecycle.key_order.is_idle())
     assert not (
         scheduler.queues.rotation_by_shard or scheduler.context.timers.next_us() or scheduler.limits.volumes
     )
