Move the session with a node out of the iSCSI initiator's module

initiator.py, the largest file, held the attempts at nodes and the session with one of them. The session has a module of its own now, endpoint_session.py; no code changes but the imports. Two tests of the order over a replacement share how they begin.

--- a/tests/integration/test_key_order_handover.py
+++ b/tests/integration/test_key_order_handover.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from harness import PLATFORM_SETTINGS, Client, Message, Server, reply
+from harness import PLATFORM_SETTINGS, TIMEOUT_S, Client, Message, Server, reply
 from test_process_handover import ReplacementCase
 
 pytestmark = pytest.mark.serial
@@ -59,6 +59,20 @@
         response = await client.request("new-write", path=path, body=b"x", Idempotency_Key=key)
         return response.status
 
+    async def begin_write(self) -> asyncio.Task[int]:
+        """Sends a write that is at the node until `may_answer` is set."""
+        client = await self.connect()
+        self.may_answer.clear()
+        first = asyncio.create_task(self.write(client, PATHS[0]))
+        await self.until_started(1)
+        return first
+
+    async def until_started(self, count: int) -> None:
+        """Waits until a number of writes has come to the node."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(self.started) < count:
+                await asyncio.sleep(0)
+
     async def write_on(self, client: Client, path: str) -> list[int]:
         """Sends writes of one key, each after the answer to the one before."""
         statuses = []
@@ -86,32 +100,20 @@
         self.assertEqual((set(statuses), self.overlaps), ({200}, []))
 
     async def test_write_of_the_successor_waits_for_one_of_the_predecessor(self) -> None:
-        old_client = await self.connect()
-        self.may_answer.clear()
-        first = asyncio.create_task(self.write(old_client, PATHS[0]))
-        async with asyncio.timeout(5):
-            while not self.started:
-                await asyncio.sleep(0)
+        first = await self.begin_write()
         await self.start_successor()
         new_client = await self.connect(wait_until_ready=False)
         second = asyncio.create_task(self.write(new_client, PATHS[0]))
         other_key = await self.connect(wait_until_ready=False)
         third = asyncio.create_task(self.write(other_key, PATHS[1]))
-        async with asyncio.timeout(5):
-            while len(self.started) < 2:
-                await asyncio.sleep(0)
+        await self.until_started(2)
         self.assertEqual([path for path, _ in self.started], list(PATHS))
         self.may_answer.set()
         self.assertEqual([await first, await second, await third], [200] * 3)
         self.assertEqual(self.overlaps, [])
 
     async def test_write_of_the_successor_waits_for_the_quarantine_after_a_killed_predecessor(self) -> None:
-        old_client = await self.connect()
-        self.may_answer.clear()
-        first = asyncio.create_task(self.write(old_client, PATHS[0]))
-        async with asyncio.timeout(5):
-            while not self.started:
-                await asyncio.sleep(0)
+        first = await self.begin_write()
         await self.start_successor()
         new_client = await self.connect(wait_until_ready=False)
         loop = asyncio.get_running_loop()
@@ -120,9 +122,7 @@
         with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
             await first
         second = asyncio.create_task(self.write(new_client, PATHS[0]))
-        async with asyncio.timeout(5):
-            while len(self.started) < 2:
-                await asyncio.sleep(0)
+        await self.until_started(2)
         self.assertGreaterEqual(loop.time() - killed_s, QUARANTINE_S - 0.01)
         self.may_answer.set()
         self.assertEqual(await second, 200)
--- a/tests/iscsi/test_command_memory.py
+++ b/tests/iscsi/test_command_memory.py
@@ -12,7 +12,8 @@
 from lemonridge.core.counters import Counters
 from lemonridge.core.model import Attempt, Request
 from lemonridge.iscsi import scsi
-from lemonridge.iscsi.initiator import EndpointSession, IscsiEndpoints
+from lemonridge.iscsi.endpoint_session import EndpointSession
+from lemonridge.iscsi.initiator import IscsiEndpoints
 
 DATA_BYTES = 5_000_000  # more than the system's buffers take
 ATTEMPT_MAX_S = 0.2
--- a/tests/iscsi/test_session_close.py
+++ b/tests/iscsi/test_session_close.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from lemonridge.core.counters import Counters
-from lemonridge.iscsi.initiator import EndpointSession
+from lemonridge.iscsi.endpoint_session import EndpointSession
 
 UNREAD_BYTES = 32 << 20  # more than the system's buffers of both sides take
 CLOSE_GRACE_S = 0.2
@@ -30,7 +30,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         session = EndpointSession(reader, writer, Counters())
         writer.write(bytes(UNREAD_BYTES))
-        with mock.patch("lemonridge.iscsi.initiator.CLOSE_GRACE_S", CLOSE_GRACE_S):
+        with mock.patch("lemonridge.iscsi.endpoint_session.CLOSE_GRACE_S", CLOSE_GRACE_S):
             session.end()
         async with asyncio.timeout(5):
             await writer.wait_closed()
