Tell every initiator of a node's loss of power

Cause: a node has one I_T nexus for all initiators of the broker, and its unit attention was passed on as the reply to the command that met it alone.

The device server now queues it for every nexus at that LUN, less the one that has it from the reply. A SYNCHRONIZE CACHE that was at the node meanwhile gets the attention in place of GOOD.

--- a/lemonridge/iscsi/device.py
+++ b/lemonridge/iscsi/device.py
@@ -138,6 +138,29 @@
         if code not in queue and len(queue) < MAX_UNIT_ATTENTIONS:
             queue.append(code)
 
+    def discard_unit_attention(self, lun: int, code: tuple[int, int]) -> None:
+        """Removes a pending unit attention, which the initiator is told of in another way.
+
+        Args:
+            lun: The logical unit.
+            code: ASC and ASCQ.
+        """
+        queue = self.unit_attentions.get(lun)
+        if queue and code in queue:
+            queue.remove(code)
+
+    def take_loss_of_power(self, lun: int) -> tuple[int, int] | None:
+        """Removes and returns a pending unit attention after a loss of power or a reset; None without one.
+
+        Args:
+            lun: The logical unit.
+        """
+        for code in self.unit_attentions.get(lun, ()):
+            if code[0] == POWER_ON[0]:
+                self.discard_unit_attention(lun, code)
+                return code
+        return None
+
     def close(self) -> None:
         """Removes the nexus from the device server."""
         self.device.nexuses.discard(self)
--- a/lemonridge/iscsi/initiator.py
+++ b/lemonridge/iscsi/initiator.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections import Counter
+from collections.abc import Callable
 
 from lemonridge.config.address import Address
 from lemonridge.core.counters import Counters
@@ -38,9 +39,14 @@
         config: The configuration of the iSCSI front.
         registry: The endpoints, with their addresses and shards.
         counters: The counters.
+
+    Attributes:
+        on_unit_attention: Called with the LUN and the ASC and ASCQ of a unit attention that a node has
+            reported. A node has one I_T nexus for all initiators, so it reports each to one command alone.
     """
 
     def __init__(self, config: IscsiConfig, registry: EndpointRegistry, counters: Counters) -> None:
+        self.on_unit_attention: Callable[[int, tuple[int, int]], None] = lambda lun, code: None
         self._config, self._registry, self._counters = config, registry, counters
         self._loop = asyncio.get_running_loop()
         self._sessions: dict[str, asyncio.Task[EndpointSession]] = {}
@@ -93,6 +99,8 @@
             return Outcome(AttemptResult.QUEUE_FULL)
         if reply.status == scsi.Status.TASK_ABORTED:
             return Outcome(AttemptResult.ERROR)
+        if (unit_attention := scsi.unit_attention_of(reply)) is not None:
+            self.on_unit_attention(attempt.request.volume, unit_attention)
         if ahs and (redirect := versions.unpack_redirect_sense(reply.sense)) is not None:
             return Outcome(AttemptResult.DATA_MIGRATED, redirect)
         return Outcome(AttemptResult.OK, reply)
--- a/lemonridge/iscsi/runner.py
+++ b/lemonridge/iscsi/runner.py
@@ -224,16 +224,14 @@
             if command.cdb[0] in LOCAL_DATA_OUT_COMMANDS:
                 self.respond(task, await self._execute_with_data(command))
             elif lun.mapped and front.mapped_luns is not None:
-                self.respond(
-                    task,
-                    await front.mapped_luns.serve(
-                        command,
-                        lun,
-                        deadline_us,
-                        partial(self._has_initiator_disconnected, task),
-                        task.activity,
-                    ),
+                reply = await front.mapped_luns.serve(
+                    command,
+                    lun,
+                    deadline_us,
+                    partial(self._has_initiator_disconnected, task),
+                    task.activity,
                 )
+                self.respond(task, self._with_unit_attention(command, reply))
             else:
                 request = make_request(
                     front.config,
@@ -244,7 +242,8 @@
                     partial(self._has_initiator_disconnected, task),
                     task.activity,
                 )
-                self.respond(task, reply_from_answer(await front.broker.serve(request)))
+                reply = reply_from_answer(await front.broker.serve(request))
+                self.respond(task, self._with_unit_attention(command, reply))
             self._remove_from_order(task, self._task_orders[command.lun])
             if task.connection is not None:
                 await task.connection.writer.drain()
@@ -254,6 +253,26 @@
             if task.status is None and not task.aborted and task.reply is None:
                 self._session.abort(task)
 
+    def _with_unit_attention(self, command: scsi.Command, reply: scsi.Reply) -> scsi.Reply:
+        """Returns the reply to a command that a node has executed.
+
+        A unit attention in it need not be reported to this nexus again. A cache that was synchronized after
+        its node lost power does not have what this nexus has written, so that the loss is reported instead.
+
+        Args:
+            command: The command.
+            reply: The node's reply.
+        """
+        nexus = self._session.nexus
+        reported = scsi.unit_attention_of(reply)
+        if reported is not None:
+            nexus.discard_unit_attention(command.lun, reported)
+        elif reply.status == scsi.Status.GOOD and command.cdb[0] in scsi.SYNCHRONIZE:
+            loss_of_power = nexus.take_loss_of_power(command.lun)
+            if loss_of_power is not None:
+                return scsi.check_condition(scsi.UNIT_ATTENTION, *loss_of_power)
+        return reply
+
     async def _execute_with_data(self, command: scsi.Command) -> scsi.Reply:
         """Executes a command that the broker answers itself once it has the command's data.
 
--- a/lemonridge/iscsi/scsi.py
+++ b/lemonridge/iscsi/scsi.py
@@ -22,6 +22,8 @@
 
 
 # Operation codes of the forwarded commands that write, each of which may be executed only once:
+UNIT_ATTENTION = 0x06  # sense key (SPC-4, table 27)
+DESCRIPTOR_SENSE = (0x72, 0x73)  # response codes (SPC-4, table 26)
 # WRITE (6, 10, 16), SYNCHRONIZE CACHE (10, 16), WRITE SAME (10, 16), UNMAP, COMPARE AND WRITE
 WRITES = frozenset((0x0A, 0x2A, 0x8A, 0x35, 0x91, 0x41, 0x93, 0x42, 0x89))
 # Operation codes of the forwarded commands that do not write:
@@ -85,6 +87,22 @@
     return Reply(Status.CHECK_CONDITION, sense=sense)
 
 
+def unit_attention_of(reply: Reply) -> tuple[int, int] | None:
+    """Returns the ASC and ASCQ of a unit attention; None if the reply reports something else.
+
+    Args:
+        reply: A reply whose sense data, if any, has the fixed or the descriptor format (SPC-4, section 4.5).
+    """
+    sense = reply.sense
+    if reply.status != Status.CHECK_CONDITION or not sense:
+        return None
+    has_descriptors = sense[0] & 0x7F in DESCRIPTOR_SENSE
+    key_offset, code_offset = (1, 2) if has_descriptors else (2, 12)
+    if len(sense) < code_offset + 2 or sense[key_offset] & 0x0F != UNIT_ATTENTION:
+        return None
+    return sense[code_offset], sense[code_offset + 1]
+
+
 def no_such_lun() -> Reply:
     """Returns ILLEGAL REQUEST, LOGICAL UNIT NOT SUPPORTED."""
     return check_condition(0x05, 0x25)
--- a/lemonridge/service/iscsi.py
+++ b/lemonridge/service/iscsi.py
@@ -107,6 +107,7 @@
     front = IscsiFront(
         config, broker, service.clock, service.registry, service.counters, mapped_luns, reservations
     )
+    endpoints.on_unit_attention = lambda lun, code: front.device.report_unit_attention(code, [lun])
     if router is not None:
         router.on_resize = lambda luns: front.device.report_unit_attention(CAPACITY_CHANGED, luns)
     return front
