Quarantine a key only if its first turn was not granted

When the predecessor ended, a key was in quarantine whenever any turn of it had not been granted, also behind a granted one of the same process: then nothing of the predecessor's can be open at that key. A hot key paused for a second at the end of each replacement. The new test of the order fails without the change; a test of TARGET COLD RESET beside an abandoned write was missing.

--- a/lemonridge/scheduling/key_order.py
+++ b/lemonridge/scheduling/key_order.py
@@ -123,23 +123,23 @@
 
         Args:
             may_still_run: Whether attempts of the predecessor may still run at endpoints. All keys are then
-                in quarantine. A key whose turn was not granted is in any case, as it may have been in
+                in quarantine. A key whose first turn was not granted is in any case, as it may have been in
                 quarantine there.
 
         Returns:
             The requests that may be queued now.
         """
         self._asks_predecessor = False
-        waiting = [entry for entry in self._entries_by_number.values() if not entry.granted]
-        keys = dict.fromkeys(entry.key for entry in self._entries_by_number.values())
         if may_still_run:
             now_us = self._context.now_us
             self._all_quarantined_until_us = now_us + self._context.settings.key_quarantine_us
+        keys = dict.fromkeys(entry.key for entry in self._entries_by_number.values())
+        for key in keys:
+            if not self._entries_by_key[key][0].granted:
+                self.quarantine(key)
         for entry in self._entries_by_number.values():
             entry.granted, entry.asks_predecessor = True, False
         self._entries_by_number.clear()
-        for entry in waiting:
-            self.quarantine(entry.key)
         return [request for key in keys if (request := self._next_ready_of(key)) is not None]
 
     # This process is the predecessor
--- a/tests/iscsi/test_unfinished_commands.py
+++ b/tests/iscsi/test_unfinished_commands.py
@@ -133,6 +133,17 @@
         response = await peer.receive(Op.TASK_MANAGEMENT_RESPONSE)
         self.assertEqual(response.byte2, ManagementResponse.FUNCTION_COMPLETE)
 
+    async def test_cold_reset_ends_the_sessions_when_the_node_has_ended(self) -> None:
+        peer, other = await self.open_session(level=0), await self.open_session(level=0)
+        await self.start_write(other)
+        self.send_request(peer, ManagementFunction.TARGET_COLD_RESET)
+        await self.receipt(peer)
+        self.assertEqual(len(self.front.sessions), 2)
+        self.node.end_all()
+        response = await peer.receive(Op.TASK_MANAGEMENT_RESPONSE)
+        self.assertEqual(response.byte2, ManagementResponse.FUNCTION_COMPLETE)
+        self.assertEqual(self.front.sessions, {})
+
     async def test_function_rejected_when_too_many_responses_wait(self) -> None:
         peer = await self.open_session(level=0)
         await self.start_write(peer)
--- a/tests/scheduling/test_key_order_of_two_processes.py
+++ b/tests/scheduling/test_key_order_of_two_processes.py
@@ -142,6 +142,15 @@
     assert (sends(actions), turns(actions)) == ([later], [])
 
 
+def test_key_is_not_in_quarantine_after_the_end_of_a_predecessor_that_had_granted_its_turn(rig: Rig) -> None:
+    rig.handle(PredecessorOrdersKeys())
+    granted, _ = arrive(rig)
+    rig.handle(TurnGranted(1))
+    behind, _ = arrive(rig)
+    rig.handle(PredecessorGone(may_still_run=False))
+    assert sends(rig.end_attempt(granted)) == [behind]
+
+
 def test_all_keys_are_in_quarantine_if_attempts_of_the_predecessor_may_still_run(rig: Rig) -> None:
     rig.handle(PredecessorOrdersKeys())
     rig.handle(PredecessorGone(may_still_run=True))
