Put two comments of the extent routing and SCSI back in order

Cause: constants of the last changes stood between a comment and the set that it describes, and one docstring was wrapped in the middle of a sentence.

Change: order and wrapping only.

--- a/lemonridge/extents/routing.py
+++ b/lemonridge/extents/routing.py
@@ -242,9 +242,8 @@
     The route follows the map if the map's version is newer than that of the refused attempt and not older
     than the redirect's. Otherwise the route follows the redirect if the redirect's version is newer than both
     the route's and the map's, if its shard has a node and if the route may run ahead of the map. In all other
-    cases the extent is refreshed. A
-    version that is not newer proves nothing: the redirect may be stale, two nodes may redirect to each other,
-    or the extent's new owner may not know of the handover yet.
+    cases the extent is refreshed. A version that is not newer proves nothing: the redirect may be stale, two
+    nodes may redirect to each other, or the extent's new owner may not know of the handover yet.
 
     Args:
         extent_map: The map.
--- a/lemonridge/iscsi/scsi.py
+++ b/lemonridge/iscsi/scsi.py
@@ -21,9 +21,9 @@
     TASK_ABORTED = 0x40
 
 
-# Operation codes of the forwarded commands that write, each of which may be executed only once:
 UNIT_ATTENTION = 0x06  # sense key (SPC-4, table 27)
 DESCRIPTOR_SENSE = (0x72, 0x73)  # response codes (SPC-4, table 26)
+# Operation codes of the forwarded commands that write, each of which may be executed only once:
 # WRITE (6, 10, 16), SYNCHRONIZE CACHE (10, 16), WRITE SAME (10, 16), UNMAP, COMPARE AND WRITE
 WRITES = frozenset((0x0A, 0x2A, 0x8A, 0x35, 0x91, 0x41, 0x93, 0x42, 0x89))
 # Operation codes of the forwarded commands that do not write:
