Tell what the soak's checker saw of a late or missing answer and of a late drain

Change: a late drain's note has the distance from the end of the drain and from the beginning of the judge's stall; a lost request's note has its attempts at the nodes, SIGTERM and the judge's stalls, in seconds after it was sent. No rule is changed.

--- a/lemonridge/lab/checkers/soak.py
+++ b/lemonridge/lab/checkers/soak.py
@@ -85,14 +85,11 @@
         by_request[attempt.request_id].append(attempt)
     for request in record.requests.values():
         attempts = by_request.get(request.request_id, [])
-        _check_answer(request, attempts, findings)
+        _check_answer(record, request, attempts, findings)
         _check_repetition(request, attempts, findings)
         _check_forwarding(record, request, attempts, findings)
     for attempt in record.attempts:
-        for announced_at, ended_at in record.drains.get(attempt.node, ()):
-            if announced_at + GRACE_S + SLACK_S < record.earliest_time(attempt.started_at) < ended_at:
-                late_s = attempt.started_at - announced_at
-                findings.add("late_drain", f"{attempt.node} {late_s:.3f} s after its drain was announced")
+        _check_drains(record, attempt, findings)
     _check_cold_nodes(record, limits, findings)
     _check_limits(record, by_request, limits, findings)
     for _ in range(record.crashes):
@@ -100,7 +97,23 @@
     return findings
 
 
-def _check_answer(request: SoakRequest, attempts: list[SoakAttempt], findings: Findings) -> None:
+def _check_drains(record: SoakRecord, attempt: SoakAttempt, findings: Findings) -> None:
+    """Checks that an attempt does not start at a draining node after the drain's grace."""
+    earliest_at = record.earliest_time(attempt.started_at)
+    for announced_at, ended_at in record.drains.get(attempt.node, ()):
+        if announced_at + GRACE_S + SLACK_S < earliest_at < ended_at:
+            late_s = attempt.started_at - announced_at
+            findings.add(
+                "late_drain",
+                f"{attempt.node} {late_s:.3f} s after its drain was announced, "
+                f"{attempt.started_at - ended_at:+.3f} s from its end, "
+                f"seen {attempt.started_at - earliest_at:.3f} s after the judge's stall began",
+            )
+
+
+def _check_answer(
+    record: SoakRecord, request: SoakRequest, attempts: list[SoakAttempt], findings: Findings
+) -> None:
     """Checks that a request got an answer in time, unless its client or the broker had ended."""
     if request.disconnected_at is not None or not request.sent_at:
         return
@@ -108,21 +121,41 @@
     if request.status:
         if request.ended_at is not None and request.ended_at > due_at:
             late_s = request.ended_at - due_at
-            description = f"{request.request_id} of {request.deadline_s} s got {request.status}"
-            findings.add(
-                "lost",
-                f"{description} {late_s:.3f} s late, "
-                f"attempts {len(attempts)}, pipelined {request.is_pipelined}",
-            )
+            findings.add("lost", f"answered {late_s:.3f} s late, {_history(record, request, attempts)}")
         return
     if request.killed:
         if request.late_at_kill and (attempts or request.ended_at is None):
-            findings.add("lost", f"{request.request_id} was open at SIGKILL")
+            findings.add("lost", f"open at SIGKILL, {_history(record, request, attempts)}")
         return
     waited_s = 0.0 if request.ended_at is None else request.ended_at - request.sent_at
     was_read = not request.is_pipelined and waited_s > READ_S
     if attempts or was_read or request.ended_at is None:
-        findings.add("lost", f"{request.request_id} has no answer, attempts {len(attempts)}")
+        findings.add("lost", f"no answer, {_history(record, request, attempts)}")
+
+
+def _history(record: SoakRecord, request: SoakRequest, attempts: list[SoakAttempt]) -> str:
+    """Describes what clients and nodes saw of a request, in seconds after it was sent."""
+
+    def after_s(at: float | None) -> str:
+        return "never" if at is None else f"{at - request.sent_at:+.3f}"
+
+    described_attempts = [
+        f"{attempt.node} {after_s(attempt.started_at)} to {after_s(attempt.ended_at)} "
+        f"received {after_s(attempt.received_at)} served {attempt.served} not run {attempt.never_ran}"
+        for attempt in attempts
+    ]
+    ended_at = request.sent_at if request.ended_at is None else request.ended_at
+    stalls = [
+        f"{after_s(began_at)} to {after_s(stall_ended_at)}"
+        for began_at, stall_ended_at in record.stalls
+        if stall_ended_at > request.sent_at and began_at < ended_at
+    ]
+    stop = next((stop for stop in record.stops if stop >= request.sent_at - request.deadline_s), None)
+    return (
+        f"{request.request_id} of {request.cls.name}, deadline {request.deadline_s} s, "
+        f"status {request.status}, pipelined {request.is_pipelined}, ended {after_s(request.ended_at)}, "
+        f"attempts {described_attempts}, SIGTERM {after_s(stop)}, judge's stalls {stalls}"
+    )
 
 
 def _check_repetition(request: SoakRequest, attempts: list[SoakAttempt], findings: Findings) -> None:
--- a/lemonridge/lab/drills/soak.py
+++ b/lemonridge/lab/drills/soak.py
@@ -262,6 +262,7 @@
             if self._program is not None:
                 program.process.send_signal(signal.SIGTERM)
                 self._stopping_at = loop.time()
+                self.record.stops.append(self._stopping_at)
                 await self._wait_until_killed(program)
         finally:
             floods.cancel()
--- a/lemonridge/lab/standins/soak_record.py
+++ b/lemonridge/lab/standins/soak_record.py
@@ -107,6 +107,7 @@
         drains: By node, the times at which each drain was announced and at which it ended.
         starts: By node, the times of each restart and of its announcement.
         crashes: Number of unexpected ends of the program.
+        stops: Times at which the program was sent SIGTERM.
         stalls: Start and end times of the periods in which the drill's own process was stalled.
     """
 
@@ -115,6 +116,7 @@
     drains: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     starts: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     crashes: int = 0
+    stops: list[float] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
 
     def earliest_time(self, seen_at: float) -> float:
