Count no late drain where the attempt was seen after the drain had ended

Cause: the soak's checker dates an attempt that it sees in a stall of its own process back to the beginning of the stall, and compared that early time with the end of the drain too: an attempt at a node that was already in service again counted as one before it.

Change: an attempt counts if it is late at the earliest and at the latest moment at which it may have started. Without a stall both are the same, and nothing changes.

Measured: test_attempt_seen_after_the_end_in_a_stall_that_began_before_it_is_allowed failed before; its six neighbours, which hold the bounds on both sides, pass before and after.

--- a/lemonridge/lab/checkers/soak.py
+++ b/lemonridge/lab/checkers/soak.py
@@ -98,10 +98,14 @@
 
 
 def _check_drains(record: SoakRecord, attempt: SoakAttempt, findings: Findings) -> None:
-    """Checks that an attempt does not start at a draining node after the drain's grace."""
+    """Checks that an attempt does not start at a draining node after the drain's grace.
+
+    An attempt that is seen in or after a stall of the drill's process may have started at any time since the
+    stall began, so it counts only if it is late at the earliest of these times and at the latest one.
+    """
     earliest_at = record.earliest_time(attempt.started_at)
     for announced_at, ended_at in record.drains.get(attempt.node, ()):
-        if announced_at + GRACE_S + SLACK_S < earliest_at < ended_at:
+        if announced_at + GRACE_S + SLACK_S < earliest_at and attempt.started_at < ended_at:
             late_s = attempt.started_at - announced_at
             findings.add(
                 "late_drain",
--- a/tests/lab/test_soak_checker.py
+++ b/tests/lab/test_soak_checker.py
@@ -45,6 +45,10 @@
     def test_attempt_seen_before_the_end_and_started_after_grace_is_late_in_spite_of_a_stall(self) -> None:
         self.assert_late(self.check_attempt(DRAIN_ENDED_AT - 0.001, ((101.9, 101.998),)), True)
 
+    def test_attempt_seen_after_the_end_in_a_stall_that_began_before_it_is_allowed(self) -> None:
+        """Guards against late drains found where the node was in service again (`review/REPORT.md`)."""
+        self.assert_late(self.check_attempt(DRAIN_ENDED_AT + 0.03, ((101.999, 102.024),)), False)
+
 
 class Answers(unittest.TestCase):
     """Each request gets an answer in time, and one that does not is described."""
