Record that requests behind one whose client left were left by it too

Cause: of three pipelined requests the soak's client recorded the third as left only if it had left while it read the first answer. Where it left while it read the second, the third counted as one without an answer if its attempt had begun.

Change: the reading of pipelined answers is a module of its own (soak_client.py), in which the requests behind one end as it did. Attempts after the client left now count as such for them too. Answered requests that wait for others behind them are not marked as killed.

--- a/lemonridge/lab/drills/soak.py
+++ b/lemonridge/lab/drills/soak.py
@@ -24,7 +24,8 @@
 
 import orjson
 
-from lemonridge.lab.checkers.soak import EARLY_S, FIGURES, GRACE_S, Findings, SoakLimits, check
+from lemonridge.lab.checkers.soak import EARLY_S, FIGURES, Findings, SoakLimits, check
+from lemonridge.lab.drills.soak_client import SoakClient
 from lemonridge.lab.drills.soak_floods import MEMORY_MB, SoakFloods
 from lemonridge.lab.program import Program, ProgramError
 from lemonridge.lab.standins.soak import SoakDiscovery, SoakNode
@@ -294,7 +295,7 @@
                 await program.process.wait()
         if program.process.returncode is None:
             for request in self._pending:
-                request.killed = True
+                request.killed = not request.status
                 request.late_at_kill = request.sent_at > self._stopping_at + EARLY_S
             program.process.kill()
         elif program.process.returncode != 0:
@@ -413,7 +414,7 @@
 
         It uses an idle connection if there is one.
         """
-        random, program, loop = self._random, self._program, asyncio.get_running_loop()
+        random, program = self._random, self._program
         try:
             if self._idle_connections and (not may_connect or random.random() < 0.8):
                 reader, writer = self._idle_connections.pop()
@@ -431,15 +432,9 @@
         for sent_request, sent_data in ((request, data), *pipelined):
             writer.write(sent_data)
             self._record_sent(sent_request)
-        reusable = True
-        for number, sent_request in enumerate((request, *(pair[0] for pair in pipelined))):
-            sent_request.is_pipelined = number > 0
-            sent_request.previous_answered_at = loop.time() if sent_request.is_pipelined else 0.0
-            if reusable:
-                reusable = await self._read_response(sent_request, reader, writer)
-            else:  # the requests behind a failed one end with the connection
-                sent_request.disconnected_at, sent_request.ended_at = request.disconnected_at, loop.time()
-            self._pending.discard(sent_request)
+        requests = [request, *(pipelined_request for pipelined_request, _ in pipelined)]
+        reusable = await SoakClient(reader, writer, random).read_responses(requests)
+        self._pending.difference_update(requests)
         if reusable and self._program is program:
             self._idle_connections.append((reader, writer))
         else:
@@ -451,29 +446,6 @@
         self.record.requests[request.request_id] = request
         self._pending.add(request)
 
-    async def _read_response(
-        self, request: SoakRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bool:
-        """Reads a response and records it; returns whether the connection can be reused."""
-        loop = asyncio.get_running_loop()
-        disconnects = self._random.random() < 0.08
-        wait_s = self._random.uniform(0, 0.1) if disconnects else request.deadline_s + 4 * GRACE_S
-        try:
-            async with asyncio.timeout_at(loop.time() + wait_s):
-                head = (await reader.readuntil(b"\r\n\r\n")).lower()
-                length = int(head.partition(b"content-length: ")[2].split(b"\r")[0])
-                await reader.readexactly(length)
-        except TimeoutError:
-            if disconnects:
-                request.disconnected_at = loop.time()
-                writer.transport.abort()
-            return False
-        except (asyncio.IncompleteReadError, ConnectionError):
-            request.ended_at = loop.time()
-            return False
-        request.status, request.ended_at = int(head.split()[1]), loop.time()
-        return b"connection: close" not in head
-
     async def _hold_idle_connections(self) -> None:
         """Holds idle connections near the limit of sockets, and replaces them every second."""
         while True:
