Tell in the soak's findings how long the broker waited for a processor

Change: the soak samples the run delay of the broker's main thread from /proc every 10 ms, and the notes of these rules say how much of it lies in the period that they concern. Findings of repetition show the request's attempts. The floods' tests use the same function.

--- a/lemonridge/lab/checkers/soak.py
+++ b/lemonridge/lab/checkers/soak.py
@@ -86,7 +86,7 @@
     for request in record.requests.values():
         attempts = by_request.get(request.request_id, [])
         _check_answer(record, request, attempts, findings)
-        _check_repetition(request, attempts, findings)
+        _check_repetition(record, request, attempts, findings)
         _check_forwarding(record, request, attempts, findings)
     for attempt in record.attempts:
         _check_drains(record, attempt, findings)
@@ -158,11 +158,19 @@
     return (
         f"{request.request_id} of {request.cls.name}, deadline {request.deadline_s} s, "
         f"status {request.status}, pipelined {request.is_pipelined}, ended {after_s(request.ended_at)}, "
-        f"attempts {described_attempts}, SIGTERM {after_s(stop)}, judge's stalls {stalls}"
+        f"attempts {described_attempts}, SIGTERM {after_s(stop)}, judge's stalls {stalls}, "
+        f"{_processor_wait(record, request.sent_at, ended_at)}"
     )
 
 
-def _check_repetition(request: SoakRequest, attempts: list[SoakAttempt], findings: Findings) -> None:
+def _processor_wait(record: SoakRecord, began_at: float, ended_at: float) -> str:
+    """Describes how long the broker was held up by the machine in a period."""
+    return f"the broker waited {record.processor_wait_s(began_at, ended_at):.3f} s for a processor"
+
+
+def _check_repetition(
+    record: SoakRecord, request: SoakRequest, attempts: list[SoakAttempt], findings: Findings
+) -> None:
     """Checks that a request has at most four attempts, one at a time, and runs as often as its class allows.
 
     A rejected request of a class that may run only once must not have run.
@@ -172,19 +180,19 @@
         findings.add("duplicate", f"{request.request_id} had {len(received)} attempts")
     for earlier, later in zip(received, received[1:], strict=False):
         if earlier.ended_at is None or earlier.ended_at > (later.received_at or 0.0) + SLACK_S:
-            findings.add("duplicate", f"{request.request_id} had two attempts at the same time")
+            findings.add("duplicate", f"two attempts at the same time, {_history(record, request, attempts)}")
     may_have_run = [attempt for attempt in received if not attempt.never_ran]
     rejected = request.status in (429, 503)
     keyed, once = request.cls.semantics == "by_key", request.cls.semantics == "once"
     if rejected and may_have_run and (once or (keyed and request.cls.group != "all")):
-        findings.add("bad_refusals", f"{request.request_id} of {request.cls.name} may have run")
+        findings.add("bad_refusals", f"may have run, {_history(record, request, attempts)}")
     for repeated in may_have_run[1:]:
         first = may_have_run[0]
         assert repeated.received_at is not None
         outside_scope = {"cell": repeated.shard != first.shard, "zone": repeated.zone != first.zone}
         late = repeated.received_at - first.started_at > request.cls.window_s + SLACK_S
         if once or (keyed and (late or outside_scope.get(request.cls.group, False))):
-            findings.add("duplicate", f"{request.request_id} of {request.cls.name} may have run twice")
+            findings.add("duplicate", f"may have run twice, {_history(record, request, attempts)}")
 
 
 def _check_forwarding(
@@ -198,7 +206,7 @@
             findings.add(
                 "deadline_over",
                 f"{request.request_id} was forwarded with {attempt.deadline_ms} ms, "
-                f"left were {left_s * 1000:.0f}",
+                f"left were {left_s * 1000:.0f}, {_processor_wait(record, request.sent_at, started_at)}",
             )
         if request.disconnected_at is not None and started_at > request.disconnected_at + LEAVE_S + SLACK_S:
             findings.add(
@@ -240,7 +248,9 @@
             )
             if work > allowed:
                 findings.add(
-                    "cold_overloads", f"{node} got the work of {work:.1f} requests, allowed {allowed:.1f}"
+                    "cold_overloads",
+                    f"{node} got the work of {work:.1f} requests, allowed {allowed:.1f}, "
+                    f"{_processor_wait(record, started_at, window_start + 1.0)}",
                 )
 
 
--- a/lemonridge/lab/drills/soak.py
+++ b/lemonridge/lab/drills/soak.py
@@ -27,7 +27,7 @@
 from lemonridge.lab.checkers.soak import EARLY_S, FIGURES, Findings, SoakLimits, check
 from lemonridge.lab.drills.soak_client import SoakClient
 from lemonridge.lab.drills.soak_floods import MEMORY_MB, SoakFloods
-from lemonridge.lab.program import Program, ProgramError
+from lemonridge.lab.program import Program, ProgramError, processor_wait_s
 from lemonridge.lab.standins.soak import SoakDiscovery, SoakNode
 from lemonridge.lab.standins.soak_record import ANNOUNCE_LIMIT_S, SoakClass, SoakRecord, SoakRequest
 
@@ -460,13 +460,23 @@
     # The run
 
     async def _record_stalls(self) -> None:
-        """Records when this process was stalled: what it noticed then may have happened earlier."""
+        """Records when this process was stalled, and when the broker waited for a processor.
+
+        What this process noticed in a stall may have happened earlier.
+        """
         loop = asyncio.get_running_loop()
+        program, waited_s = self._program, 0.0
         while True:
             sleep_started_at = loop.time()
             await asyncio.sleep(STALL_CHECK_S)
             if loop.time() > sleep_started_at + 2 * STALL_CHECK_S:
                 self.record.stalls.append((sleep_started_at, loop.time()))
+            if program is not self._program:
+                program, waited_s = self._program, 0.0
+            if program is not None:
+                waited_before_s, waited_s = waited_s, processor_wait_s(program.process.pid)
+                if waited_s > waited_before_s:
+                    self.record.processor_waits.append((loop.time(), waited_s - waited_before_s))
 
     async def run(self) -> tuple[dict[str, object], Findings]:
         """Runs load and faults, then the checker; returns the figures and the findings."""
--- a/lemonridge/lab/program.py
+++ b/lemonridge/lab/program.py
@@ -20,6 +20,20 @@
     """The program failed to start, to become ready or to stop."""
 
 
+def processor_wait_s(process_id: int) -> float:
+    """Returns how long a process's main thread was ready to run and had no processor, in seconds.
+
+    Args:
+        process_id: The process; 0 seconds if it has ended.
+    """
+    try:
+        with open(f"/proc/{process_id}/schedstat", encoding="ascii") as file:
+            _, waited_ns, _ = file.read().split()
+    except (OSError, ValueError):
+        return 0.0
+    return int(waited_ns) / 1e9
+
+
 class Program:
     """One broker process.
 
--- a/lemonridge/lab/standins/soak_record.py
+++ b/lemonridge/lab/standins/soak_record.py
@@ -108,6 +108,8 @@
         starts: By node, the times of each restart and of its announcement.
         crashes: Number of unexpected ends of the program.
         stops: Times at which the program was sent SIGTERM.
+        processor_waits: The times at which the program was seen to have waited for a processor, with the
+            seconds that it had waited since the sample before.
         stalls: Start and end times of the periods in which the drill's own process was stalled.
     """
 
@@ -117,6 +119,7 @@
     starts: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     crashes: int = 0
     stops: list[float] = field(default_factory=list)
+    processor_waits: list[tuple[float, float]] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
 
     def earliest_time(self, seen_at: float) -> float:
@@ -128,3 +131,7 @@
             if began_at <= seen_at <= ended_at + STALL_MARGIN_S:
                 return began_at
         return seen_at
+
+    def processor_wait_s(self, began_at: float, ended_at: float) -> float:
+        """Returns how long the program waited for a processor in a period, in seconds."""
+        return sum(waited_s for at, waited_s in self.processor_waits if began_at <= at <= ended_at)
--- a/tests/integration/flood_cases.py
+++ b/tests/integration/flood_cases.py
@@ -20,6 +20,7 @@
 )
 
 from lemonridge.lab.load.floods import FloodKind
+from lemonridge.lab.program import processor_wait_s
 
 NODES = 5  # the first of which serves the sound requests of the floods
 NODE_LATENCY_S = 0.02
@@ -131,9 +132,9 @@
         ordinary requests go to the other shards.
         """
         calm, _ = await self.beside(asyncio.sleep(CALM_S))
-        waited_before_s = self.processor_wait_s()
+        waited_before_s = processor_wait_s(self.program.process.pid)
         beside, peak_mb = await self.beside(self.flood(kind, connections, seconds))
-        waited_s = self.processor_wait_s() - waited_before_s
+        waited_s = processor_wait_s(self.program.process.pid) - waited_before_s
         summary = (
             f"{kind.value}: {beside.summary()} peak_mb={peak_mb} flood: {self.flood_counts}"
             f" program: waited_for_processor_s={waited_s:.2f} {await self.client_counters()}"
@@ -175,11 +176,6 @@
         text = Path(f"/proc/{self.program.process.pid}/status").read_text()
         return int(text.partition("VmRSS:")[2].split()[0]) * 1024
 
-    def processor_wait_s(self) -> float:
-        """Returns how long the program's main thread was ready to run and had no processor, in seconds."""
-        _, waited_ns, _ = Path(f"/proc/{self.program.process.pid}/schedstat").read_text().split()
-        return int(waited_ns) / 1e9
-
     async def client_counters(self) -> str:
         """Returns what the program counted of its clients' connections and of rejected requests, as text."""
         counters = await self.program.counters()
--- a/tests/lab/test_soak_checker.py
+++ b/tests/lab/test_soak_checker.py
@@ -9,6 +9,7 @@
 from lemonridge.lab.standins.soak_record import SoakAttempt, SoakClass, SoakRecord, SoakRequest
 
 NODE = "n0-0"
+KEYED = SoakClass("keyed", "by_key", "all", 0.4, 1.0, True)
 CLASS = SoakClass("read", "repeatable", "all", 0.0, 0.3, False)
 ANNOUNCED_AT, DRAIN_ENDED_AT = 100.0, 102.0  # seconds
 
@@ -60,9 +61,15 @@
         record.attempts.append(SoakAttempt(request.request_id, NODE, 0, "a", 50.01, 290, received_at=50.011))
         record.stops.append(50.1)
         record.stalls.append((50.05, 50.08))
+        record.processor_waits.extend([(49.9, 0.5), (50.1, 0.02), (50.15, 0.03)])
         findings = check(record, LIMIT)
         self.assertEqual(findings.counts["lost"], 1)
-        for part in (f"{NODE} +0.010 to never", "SIGTERM +0.100", "stalls ['+0.050 to +0.080']"):
+        for part in (
+            f"{NODE} +0.010 to never",
+            "SIGTERM +0.100",
+            "stalls ['+0.050 to +0.080']",
+            "waited 0.050 s",
+        ):
             self.assertIn(part, findings.notes[0])
 
     def test_answer_in_time_is_no_finding(self) -> None:
@@ -72,3 +79,25 @@
         )
         record.requests[request.request_id] = request
         self.assertEqual(check(record, LIMIT).counts["lost"], 0)
+
+
+class Repetitions(unittest.TestCase):
+    """A request of a class that deduplicates for a time is not sent again after it."""
+
+    def check_second_attempt(self, received_at: float) -> Findings:
+        """Checks a keyed request whose first attempt started at 50 s, with a window of 0.4 s."""
+        record = SoakRecord()
+        request = SoakRequest("0000000100000004", KEYED, 1, False, 2, 1.0, 50.0, ended_at=50.9, status=200)
+        record.requests[request.request_id] = request
+        for started_at, ended_at in ((50.0, 50.1), (received_at, received_at + 0.1)):
+            attempt = SoakAttempt(request.request_id, NODE, 0, "a", started_at, 100, started_at, ended_at)
+            record.attempts.append(attempt)
+        return check(record, LIMIT)
+
+    def test_second_attempt_after_the_window_is_a_duplicate(self) -> None:
+        findings = self.check_second_attempt(50.46)
+        self.assertEqual(findings.counts["duplicate"], 1)
+        self.assertIn(f"{NODE} +0.460 to +0.560", findings.notes[0])
+
+    def test_second_attempt_within_the_window_is_allowed(self) -> None:
+        self.assertEqual(self.check_second_attempt(50.44).counts["duplicate"], 0)
