Count a crash in the soak where the broker has ended by itself

Cause: the soak sends SIGKILL to a broker that has ended or passed its memory; to one that has ended this raises ProcessLookupError, so that the drill broke off with a traceback instead of counting the crash.

Change: SIGKILL only if it still runs.

--- a/lemonridge/lab/drills/soak.py
+++ b/lemonridge/lab/drills/soak.py
@@ -277,7 +277,8 @@
             if program.process.returncode is not None or not is_within_memory:
                 self.record.crashes += 1
                 print(f"the broker ended or has passed {MEMORY_MB} MB:", *program.last_log_lines, sep="\n")
-                program.process.kill()
+                if program.process.returncode is None:
+                    program.process.kill()
                 self._program = None
                 return
             for _ in range(self._random.choice((0, 0, 3))):
