Charge a node's connection for processor time, not for the time that passes

Cause: the share of a connection with an answer in chunks was charged by the clock, so that a wait of the broker for a processor counted as the node's: on a busy machine sound answers in chunks would have read 1 KiB a turn.

Change: time.thread_time() instead of the loop's clock.

--- a/lemonridge/net/http_response.py
+++ b/lemonridge/net/http_response.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -137,9 +138,9 @@
 
     def _parse_body(self, data: bytes) -> None:
         """Forwards a part of a body whose length is not known; pauses a connection over its share."""
-        began_s = self._loop.time()
+        began_s = time.thread_time()  # a wait for a processor is not the endpoint's
         super().data_received(data)
-        used_us = 1e6 * (self._loop.time() - began_s)
+        used_us = 1e6 * (time.thread_time() - began_s)
         uncharged_us = max(0.0, used_us - self._charged_us)
         self._charged_us = 0.0
         if self.transport is None or self._payload is None or self._payload.is_eof():
--- a/tests/net/test_chunked_responses.py
+++ b/tests/net/test_chunked_responses.py
@@ -69,6 +69,14 @@
             self.reader.data_received(SMALL_CHUNKS)
         self.transport.pause_reading.assert_not_called()
 
+    async def test_time_without_a_processor_is_not_charged(self) -> None:
+        """Guards against a node that pays for a busy machine."""
+        with patch("lemonridge.net.http_response.time.thread_time", return_value=1.0):
+            self.reader.data_received(CHUNKED_HEAD)
+            for _ in range(20):
+                self.reader.data_received(SMALL_CHUNKS)
+        self.transport.pause_reading.assert_not_called()
+
     async def test_parser_is_resumed_only_if_it_was_paused(self) -> None:
         """aiohttp's reader asks to resume for each chunk that is taken from it."""
         self.reader.data_received(CHUNKED_HEAD + b"1\r\nx\r\n")
